--- /dev/null
+++ b/cmd/cloverwheeld/main.go
@@ -0,0 +1,138 @@
+// Command cloverwheeld is a node of cloverwheel on machines that keep nothing:
+// it serves clients' requests before the workers and keeps what must last in
+// the platform's table.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cloverwheel/cloverwheel/internal/eventlog"
+	"github.com/cloverwheel/cloverwheel/internal/server"
+	"github.com/cloverwheel/cloverwheel/platform"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2 // wrong flags or settings
+)
+
+func main() {
+	root := &cli.Command{
+		Name:  "cloverwheeld",
+		Usage: "serve agent programs before model workers",
+		Commands: []*cli.Command{
+			{
+				Name:   "serve",
+				Usage:  "run one node; SIGTERM stops it without cutting a request, SIGHUP reads the settings again",
+				Flags:  []cli.Flag{settingsFlag()},
+				Action: serve,
+			},
+			{
+				Name:   "check",
+				Usage:  "check the settings file and exit",
+				Flags:  []cli.Flag{settingsFlag()},
+				Action: check,
+			},
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var wrong *platform.SettingsError
+	if errors.As(err, &wrong) {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:    "settings",
+		Usage:   "settings `FILE` of this machine",
+		Sources: cli.EnvVars(platform.EnvironmentSettings),
+	}
+}
+
+func check(_ context.Context, command *cli.Command) error {
+	_, err := platform.LoadSettings(command.String("settings"))
+	return err
+}
+
+func serve(ctx context.Context, command *cli.Command) error {
+	path := command.String("settings")
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	lines := eventlog.New(os.Stdout)
+	go lines.Run(ctx)
+	defer lines.Flush()
+	process := settings.Server.Node + "/" + uuid.NewString()[:8]
+	logger := &log.Logger{Handler: logfmt.New(lines), Level: log.InfoLevel}
+	metrics := server.NewMetrics()
+	node := server.New(server.Options{
+		Settings:  settings.Server,
+		Process:   process,
+		Store:     platform.NewTable(settings.Store, func(call string) { metrics.Table.WithLabelValues(call).Inc() }),
+		Transport: platform.Workers{},
+		Records: server.Records{
+			ConfigurationTable: platform.TableOperator,
+			WorkersTable:       platform.TableWorkers,
+			Configuration:      platform.Configuration,
+			Worker:             platform.Worker,
+		},
+		DialTimeout: platform.DialTimeout,
+		Front: func(s *server.Server) http.Handler {
+			return &platform.Door{Forwarder: s.Forwarder(), Draining: s.Draining, Admit: s.Admit}
+		},
+		Ready:   func(s *server.Server) http.Handler { return platform.ReadyHandler(s.IsReady) },
+		Metrics: metrics,
+		Logger:  logger.WithField("node", settings.Server.Node),
+	})
+	go obeySignals(ctx, node, path, logger)
+	return node.Run(ctx)
+}
+
+// obeySignals stops the node on SIGTERM and reads the settings on SIGHUP.
+func obeySignals(ctx context.Context, node *server.Server, path string, logger log.Interface) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				node.Drain()
+				continue
+			}
+			_, err := platform.LoadSettings(path)
+			entry := logger.WithField("path", path)
+			if err != nil {
+				entry.WithError(err).Error("settings not read again, keeping those in force")
+				continue
+			}
+			entry.Info("settings read again")
+		}
+	}
+}
--- /dev/null
+++ b/internal/backend/choose.go
@@ -0,0 +1,165 @@
+package backend
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cloverwheel/cloverwheel/internal/id"
+	"github.com/cloverwheel/cloverwheel/internal/place"
+)
+
+// Query describes the request to place.
+type Query struct {
+	Service string
+	Home    string // worker that knows the request's context; empty if none is known
+	Key     string // requests with the same key prefer the same worker
+	Prompt  int    // tokens of a model call's prompt
+	Shared  int    // of them, those that other programs share
+	Output  int    // most tokens that may be generated
+	Exclude []string
+	Only    []string // if given, no other worker may be chosen
+}
+
+const (
+	// prefillPerMillisecond is a cautious guess of how many prompt tokens a
+	// worker reads in a millisecond; it decides only what staying at home is worth.
+	prefillPerMillisecond = 200
+	// guessedStep is the time of a token while no worker has shown its pace.
+	guessedStep = time.Millisecond
+	// slowStep is how much slower than the median a worker must be to count as slow.
+	slowStep = 1.3
+	// waitPerRunning is what each request of this node at a worker adds to the
+	// wait there: it spreads requests between workers that are otherwise alike.
+	waitPerRunning = time.Millisecond
+	// waitOfFailure is what a sure failure is taken to cost.
+	waitOfFailure = 200 * time.Millisecond
+	// waitOfBusy is added for a worker that has just said that it is full.
+	waitOfBusy = 100 * time.Millisecond
+	// lookAtAll is up to how many workers all are ranked; beyond, a shortlist is.
+	lookAtAll = 32
+	// shortlisted is how many of the best by hash a shortlist holds.
+	shortlisted = 8
+)
+
+// Choose picks the worker for a request. It fails with fault.Unavailable if
+// there is none.
+func (r *Registry) Choose(query Query) (*Worker, error) {
+	workers := shortlist(query, allowed(query, r.Of(query.Service)))
+	now := r.options.Now()
+	candidates := make([]place.Candidate, 0, len(workers))
+	for _, worker := range workers {
+		candidates = append(candidates, worker.candidate(query, r.options.Zone, now))
+	}
+	levelSteps(candidates, query.Output)
+	exclude := make([]id.Worker, len(query.Exclude))
+	for index, worker := range query.Exclude {
+		exclude[index] = id.Worker(worker)
+	}
+	decision, err := place.Choose(place.Query{
+		Tokens:  query.Prompt + query.Output,
+		Home:    id.Worker(query.Home),
+		Exclude: exclude,
+		Key:     query.Key,
+	}, candidates, place.Policy{Name: place.ExpectedCompletion}, nil)
+	if err != nil {
+		return nil, err
+	}
+	for _, worker := range workers {
+		if worker.Record().ID == string(decision.Worker) {
+			return worker, nil
+		}
+	}
+	return nil, err
+}
+
+func allowed(query Query, workers []*Worker) []*Worker {
+	if len(query.Only) == 0 {
+		return workers
+	}
+	kept := make([]*Worker, 0, len(query.Only))
+	for _, worker := range workers {
+		if slices.Contains(query.Only, worker.Record().ID) {
+			kept = append(kept, worker)
+		}
+	}
+	return kept
+}
+
+// shortlist keeps the home and those that rank first by hash of the key, so
+// that the cost of a decision does not grow with the number of workers.
+func shortlist(query Query, workers []*Worker) []*Worker {
+	if len(workers) <= lookAtAll {
+		return workers
+	}
+	short := make([]*Worker, 0, shortlisted+1)
+	start := int(xxhash.Sum64String(query.Key) % uint64(len(workers)))
+	for step := 0; step < len(workers) && len(short) < shortlisted; step++ {
+		worker := workers[(start+step*stride(len(workers)))%len(workers)]
+		if !slices.Contains(short, worker) && !slices.Contains(query.Exclude, worker.Record().ID) && !worker.Leaving() {
+			short = append(short, worker)
+		}
+	}
+	for _, worker := range workers {
+		if query.Home != "" && worker.Record().ID == query.Home && !slices.Contains(short, worker) {
+			short = append(short, worker)
+		}
+	}
+	return short
+}
+
+// stride spreads the shortlisted over the sorted list.
+func stride(count int) int { return max(1, count/shortlisted) }
+
+func (w *Worker) candidate(query Query, zone string, now time.Time) place.Candidate {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	fresh := query.Prompt - query.Shared
+	candidate := place.Candidate{
+		Worker:       id.Worker(w.record.ID),
+		Zone:         w.record.Zone,
+		Healthy:      !now.Before(w.avoidUntil),
+		Leaving:      w.record.Draining,
+		ModelLoaded:  true,
+		AdapterReady: true,
+		Running:      w.running,
+		Step:         w.step,
+		Wait:         time.Duration(w.running)*waitPerRunning + time.Duration(w.failureShare(now)*float64(waitOfFailure)),
+	}
+	if w.record.Zone != zone {
+		candidate.Distance = 1
+	}
+	if now.Before(w.busyUntil) {
+		candidate.Wait += waitOfBusy
+	}
+	if query.Home != "" && w.record.ID != query.Home {
+		candidate.Prefill = time.Duration(fresh) * time.Millisecond / prefillPerMillisecond
+		candidate.Compute = candidate.Prefill
+	}
+	return candidate
+}
+
+// levelSteps sets the times to decode. Paces within slowStep of the median
+// count as alike, so that chance does not draw all requests to one worker.
+func levelSteps(candidates []place.Candidate, output int) {
+	steps := make([]time.Duration, 0, len(candidates))
+	for _, candidate := range candidates {
+		if candidate.Step > 0 {
+			steps = append(steps, candidate.Step)
+		}
+	}
+	median := guessedStep
+	if len(steps) > 0 {
+		slices.Sort(steps)
+		median = steps[len(steps)/2]
+	}
+	for index := range candidates {
+		step := candidates[index].Step
+		if float64(step) < slowStep*float64(median) {
+			step = median
+		}
+		candidates[index].Step = step
+		candidates[index].Decode = time.Duration(output) * step
+	}
+}
--- /dev/null
+++ b/internal/backend/registry.go
@@ -0,0 +1,151 @@
+package backend
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/httpconn"
+)
+
+// Options of a Registry.
+type Options struct {
+	Zone        string // of this node
+	DialTimeout time.Duration
+	OnDial      func()
+	// Now is the clock; nil is time.Now.
+	Now func() time.Time
+}
+
+// Idle connections kept to each worker, and how long without a word of it.
+const (
+	idlePerWorker   = 8
+	idleWithoutWord = 4 * time.Second
+)
+
+// lingering is how long a worker that left the list may still be used when its
+// service has no other: entries also vanish while the list's keeper is down.
+const lingering = 1500 * time.Millisecond
+
+// Registry is the set of workers. It is safe for concurrent use.
+type Registry struct {
+	options  Options
+	mutex    sync.Mutex
+	workers  map[string]*Worker
+	services map[string][]*Worker // sorted by ID; replaced, never changed in place
+	vanished map[string][]vanished
+}
+
+type vanished struct {
+	worker *Worker
+	until  time.Time
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(options Options) *Registry {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Registry{
+		options:  options,
+		workers:  map[string]*Worker{},
+		services: map[string][]*Worker{},
+		vanished: map[string][]vanished{},
+	}
+}
+
+// Put adds a worker or takes over what the list says of it now. It reports
+// whether that is news.
+func (r *Registry) Put(record Record) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if known, ok := r.workers[record.ID]; ok {
+		return known.update(record)
+	}
+	worker := &Worker{record: record, Pool: httpconn.NewPool(httpconn.Options{
+		Address:     record.Address,
+		DialTimeout: r.options.DialTimeout,
+		MaxIdle:     idlePerWorker,
+		IdleTimeout: idleWithoutWord,
+		OnDial:      r.options.OnDial,
+	})}
+	r.workers[record.ID] = worker
+	list := append(slices.Clone(r.services[record.Service]), worker)
+	slices.SortFunc(list, func(a, b *Worker) int { return strings.Compare(a.record.ID, b.record.ID) })
+	r.services[record.Service] = list
+	return true
+}
+
+func (w *Worker) update(record Record) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	news := w.record != record
+	w.record = record
+	return news
+}
+
+// Remove takes a worker off the list. What it is running goes on.
+func (r *Registry) Remove(id string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	worker, ok := r.workers[id]
+	if !ok {
+		return
+	}
+	delete(r.workers, id)
+	worker.mutex.Lock()
+	service, wasDraining := worker.record.Service, worker.record.Draining
+	worker.gone = true
+	worker.mutex.Unlock()
+	r.services[service] = slices.DeleteFunc(slices.Clone(r.services[service]), func(w *Worker) bool { return w == worker })
+	worker.Pool.Close()
+	if !wasDraining {
+		until := r.options.Now().Add(lingering)
+		r.vanished[service] = append(r.vanished[service], vanished{worker: worker, until: until})
+	}
+}
+
+// IDs lists all workers.
+func (r *Registry) IDs() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	ids := make([]string, 0, len(r.workers))
+	for id := range r.workers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Of lists the workers of a service, or those that vanished a moment ago when it
+// has no other. The slice must not be changed.
+func (r *Registry) Of(service string) []*Worker {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if list := r.services[service]; len(list) > 0 {
+		return list
+	}
+	now := r.options.Now()
+	kept := r.vanished[service][:0]
+	var list []*Worker
+	for _, candidate := range r.vanished[service] {
+		if now.Before(candidate.until) {
+			kept = append(kept, candidate)
+			list = append(list, candidate.worker)
+		}
+	}
+	r.vanished[service] = kept
+	return list
+}
+
+// Has reports whether the worker is one of the service's and takes new work.
+func (r *Registry) Has(service, id string) bool {
+	r.mutex.Lock()
+	worker, ok := r.workers[id]
+	r.mutex.Unlock()
+	if !ok {
+		return false
+	}
+	record := worker.Record()
+	return record.Service == service && !record.Draining
+}
--- /dev/null
+++ b/internal/eventstream/eventstream.go
@@ -0,0 +1,106 @@
+// Package eventstream cuts a text/event-stream into whole events without
+// changing a byte.
+package eventstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// MaxEvent is the longest event that is accepted, in bytes.
+const MaxEvent = 1 << 20
+
+// Event is one whole event with its closing blank line.
+type Event struct {
+	Raw  []byte // valid until the next call of Next
+	ID   []byte // empty if it has none
+	Data []byte // its data lines joined by line feeds
+}
+
+// Reader reads events one by one.
+type Reader struct {
+	scanner *bufio.Scanner
+	err     error
+}
+
+// NewReader returns a reader of the stream.
+func NewReader(stream io.Reader) *Reader {
+	reader := &Reader{scanner: bufio.NewScanner(stream)}
+	reader.scanner.Buffer(make([]byte, 0, 2048), MaxEvent)
+	reader.scanner.Split(reader.split)
+	return reader
+}
+
+// Next returns the next whole event. It returns io.EOF at the stream's proper
+// end and io.ErrUnexpectedEOF when the stream ends inside an event.
+func (r *Reader) Next() (Event, error) {
+	if r.scanner.Scan() {
+		return parse(r.scanner.Bytes()), nil
+	}
+	if err := r.scanner.Err(); err != nil {
+		return Event{}, err
+	}
+	return Event{}, io.EOF
+}
+
+func (r *Reader) split(data []byte, atEOF bool) (int, []byte, error) {
+	if end := eventEnd(data); end > 0 {
+		return end, data[:end], nil
+	}
+	if atEOF && len(bytes.TrimRight(data, "\r\n")) > 0 {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	if atEOF {
+		return len(data), nil, nil
+	}
+	return 0, nil, nil
+}
+
+// eventEnd is the length of the first event with its blank line, or 0. Blank
+// lines before an event belong to it.
+func eventEnd(data []byte) int {
+	start := len(data) - len(bytes.TrimLeft(data, "\r\n"))
+	rest := data[start:]
+	end := 0
+	for _, blank := range [][]byte{[]byte("\n\n"), []byte("\n\r\n")} {
+		at := bytes.Index(rest, blank)
+		if at >= 0 && (end == 0 || at+len(blank) < end) {
+			end = at + len(blank)
+		}
+	}
+	if end == 0 {
+		return 0
+	}
+	return start + end
+}
+
+func parse(raw []byte) Event {
+	event := Event{Raw: raw}
+	hasData := false
+	for rest := raw; len(rest) > 0; {
+		line, after, _ := bytes.Cut(rest, []byte("\n"))
+		rest = after
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			event.ID = value
+		case "data":
+			event.Data = joinData(event.Data, value, hasData)
+			hasData = true
+		}
+	}
+	return event
+}
+
+func joinData(data, line []byte, more bool) []byte {
+	if !more {
+		return line
+	}
+	joined := make([]byte, 0, len(data)+1+len(line))
+	joined = append(joined, data...)
+	joined = append(joined, '\n')
+	return append(joined, line...)
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,142 @@
+// Package follow keeps this process's picture of a table up to date: it reads
+// the rows as a whole once, then follows the table's changes by one waiting
+// call. Versions only rise: an older read changes nothing.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/wait"
+)
+
+const (
+	// watchFor is how long one call waits for a change. An answer that is lost
+	// costs at most this and answerWait.
+	watchFor = 2 * time.Second
+	// answerWait is how long the table has to answer beyond that.
+	answerWait = 700 * time.Millisecond
+	// firstPause and longestPause bound the jittered pauses after failures.
+	firstPause   = 30 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+)
+
+// Options of a Follower.
+type Options struct {
+	Store store.Store
+	Table string
+	// Replace takes over all rows; what is not among them is gone.
+	Replace func(rows []store.Row)
+	// Change takes over changed rows.
+	Change func(rows []store.Row)
+	// Gather is how long changes are let gather before they are asked for again;
+	// it bounds the calls for a table that changes all the time.
+	Gather time.Duration
+	Logger log.Interface
+}
+
+// Follower follows one table.
+type Follower struct {
+	options Options
+	version store.Version // of the newest change taken over
+	whole   bool          // the rows were read as a whole
+	lost    time.Time     // since when the table has not answered; zero if it does
+}
+
+// New returns a follower that knows nothing yet.
+func New(options Options) *Follower { return &Follower{options: options} }
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pauses := wait.NewBackoff(firstPause, longestPause)
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		f.note(ctx, err)
+		if err == nil {
+			pauses.Reset()
+			continue
+		}
+		if errors.Is(err, store.ErrHistoryGone) {
+			f.whole = false
+			continue
+		}
+		_ = wait.For(ctx, pauses.NextBackOff())
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if !f.whole {
+		return f.readWhole(ctx)
+	}
+	patience := watchFor
+	if !f.lost.IsZero() {
+		patience = 0
+	}
+	limited, cancel := context.WithTimeout(ctx, patience+answerWait)
+	defer cancel()
+	page, err := f.options.Store.Watch(limited, f.options.Table, f.version, patience)
+	if err != nil {
+		return err
+	}
+	if page.Version > f.version {
+		f.version = page.Version
+	}
+	if len(page.Rows) == 0 {
+		return nil
+	}
+	f.options.Change(page.Rows)
+	if f.options.Gather > 0 {
+		_ = wait.For(ctx, f.options.Gather+rand.N(f.options.Gather/4+1))
+	}
+	return nil
+}
+
+// readWhole reads all pages. Changes after the first page are followed next, so
+// a row that changed between two pages ends up right.
+func (f *Follower) readWhole(ctx context.Context) error {
+	var rows []store.Row
+	var first store.Version
+	for from := ""; ; {
+		limited, cancel := context.WithTimeout(ctx, answerWait)
+		page, err := f.options.Store.Range(limited, f.options.Table, "", from, "", 0)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if first == 0 {
+			first = page.Version
+		}
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			break
+		}
+		from = page.Rows[len(page.Rows)-1].Name + "\x00"
+	}
+	if first < f.version {
+		return errors.New("the table answered with an older state; reading it again")
+	}
+	f.version, f.whole = first, true
+	f.options.Replace(rows)
+	return nil
+}
+
+// note logs when the table stops and starts answering.
+func (f *Follower) note(ctx context.Context, err error) {
+	entry := f.options.Logger.WithField("table", f.options.Table).WithField("version", uint64(f.version))
+	switch {
+	case ctx.Err() != nil:
+	case errors.Is(err, store.ErrHistoryGone):
+		entry.Warn("history gone, reading the table as a whole")
+	case err != nil && f.lost.IsZero():
+		f.lost = time.Now()
+		entry.WithError(err).Warn("table lost, going on with what is known")
+	case err == nil && !f.lost.IsZero():
+		entry.WithField("after_ms", time.Since(f.lost).Milliseconds()).Info("table regained")
+		f.lost = time.Time{}
+	}
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,285 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/route"
+)
+
+// Options of a Forwarder.
+type Options struct {
+	Workers   *backend.Registry
+	Transport Transport
+	Budgets   *budget.Book
+	History   *history.Keeper
+	Metrics   *Metrics
+	Logger    log.Interface
+}
+
+// Forwarder serves requests by the configuration in force.
+type Forwarder struct {
+	options       Options
+	configuration atomic.Pointer[route.Configuration]
+	draws         sync.Map // route name to *atomic.Uint64
+}
+
+// New returns a forwarder that knows no configuration yet.
+func New(options Options) *Forwarder { return &Forwarder{options: options} }
+
+// Configuration returns the configuration in force; nil if none is known.
+func (f *Forwarder) Configuration() *route.Configuration { return f.configuration.Load() }
+
+// SetConfiguration puts a configuration in force, unless it is older than the
+// one that is.
+func (f *Forwarder) SetConfiguration(next *route.Configuration) bool {
+	for {
+		present := f.configuration.Load()
+		if present != nil && next.Version <= present.Version {
+			return false
+		}
+		if f.configuration.CompareAndSwap(present, next) {
+			return true
+		}
+	}
+}
+
+// Tuning of retries.
+const (
+	// retryAfter is when a client should come back if no worker can take its request.
+	retryAfter = 120 * time.Millisecond
+	// startRetryAfter is when it should come back to a node that knows no configuration.
+	startRetryAfter = 250 * time.Millisecond
+	// holdShare of the objective is how long a request waits for a worker to
+	// have room before it is refused.
+	holdShare   = 4
+	longestHold = 60 * time.Millisecond
+	holdPause   = 12 * time.Millisecond
+	// maxSends bounds how often one request is sent, whatever its route allows.
+	maxSends = 8
+	// afterLimit is how long an answer may take on its way at the time limit.
+	afterLimit = 10 * time.Millisecond
+)
+
+// exchange is the state of one request.
+type exchange struct {
+	*Forwarder
+	request   *Request
+	route     *route.Route
+	service   string
+	home      string
+	body      []byte
+	out       Responder
+	begun     time.Time
+	client    context.Context // ends when the client leaves
+	excluded  []string        // workers that are not asked (again)
+	ran       []string        // workers that may have run the request and are not known to be gone
+	touched   bool            // some worker may have run the request
+	sends     int
+	declines  int
+	worker    string // the last one asked
+	events    int
+	drawn     bool
+	started   bool // the head of a stream was sent
+	answered  bool // the client has its final answer
+	lastEvent string
+	output    []byte
+}
+
+// Serve answers a request. ctx ends when the client leaves.
+func (f *Forwarder) Serve(ctx context.Context, request *Request, out Responder) {
+	x := &exchange{Forwarder: f, request: request, out: out, begun: time.Now(), client: ctx, lastEvent: request.Resume}
+	refusal := x.serve(ctx)
+	switch {
+	case refusal == nil || x.answered:
+	case x.started:
+		out.Abort()
+	default:
+		out.Refuse(refusal)
+	}
+	x.note(refusal)
+}
+
+func (x *exchange) serve(ctx context.Context) *fault.Error {
+	configuration := x.Configuration()
+	if configuration == nil {
+		return fault.New(fault.Unavailable, "this node has no configuration yet", "come back after the time given").WithRetryAfter(startRetryAfter)
+	}
+	x.route = configuration.Match(x.request.Host, x.request.Path)
+	if x.route == nil {
+		return fault.Newf(fault.NotFound, "ask the operator for a route", "no route for this host and path in version %d", configuration.Version)
+	}
+	limit := x.limit()
+	if limit <= 0 {
+		return fault.New(fault.DeadlinePassed, "no time is left for the request", "allow more time")
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if x.route.Kind != route.Streaming {
+		return x.plain(ctx)
+	}
+	return x.turn(ctx, configuration)
+}
+
+// limit is how long the request may take; the client's word and the route's.
+func (x *exchange) limit() time.Duration {
+	limit := x.route.Timeout
+	if limit <= 0 || x.request.Deadline > 0 && x.request.Deadline < limit {
+		limit = x.request.Deadline
+	}
+	if limit == 0 {
+		return time.Hour
+	}
+	return limit - afterLimit
+}
+
+// draw returns the next of a route's evenly spread draws from [0, 1).
+func (x *exchange) draw() float64 {
+	if len(x.route.Targets) < 2 {
+		return 0
+	}
+	const golden = 0.6180339887498949
+	value, ok := x.draws.Load(x.route.Name)
+	if !ok {
+		start := new(atomic.Uint64)
+		start.Store(rand.Uint64N(1 << 20))
+		value, _ = x.draws.LoadOrStore(x.route.Name, start)
+	}
+	count := value.(*atomic.Uint64).Add(1)
+	position := float64(count) * golden
+	return position - float64(uint64(position))
+}
+
+// choose picks a worker, waiting a moment for one to have room.
+func (x *exchange) choose(ctx context.Context) (*backend.Worker, *fault.Error) {
+	hold := min(x.route.Objective/holdShare, longestHold)
+	for {
+		var only []string
+		if !x.mayRunElsewhere() {
+			only = x.ran
+		}
+		worker, err := x.options.Workers.Choose(backend.Query{
+			Only:    only,
+			Service: x.service,
+			Home:    x.home,
+			Key:     x.key(),
+			Prompt:  x.request.Prompt,
+			Shared:  x.request.Shared,
+			Output:  x.request.Output,
+			Exclude: x.excluded,
+		})
+		if err == nil {
+			return worker, nil
+		}
+		if ctx.Err() != nil || time.Since(x.begun) >= hold {
+			return nil, x.noWorker(err)
+		}
+		x.excluded = nil
+		timer := time.NewTimer(holdPause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (x *exchange) noWorker(err error) *fault.Error {
+	refusal := fault.From(err)
+	if x.declines > 0 {
+		refusal = fault.Newf(fault.Overloaded, "come back after the time given", "all workers of service %q are full", x.service)
+	}
+	if x.touched {
+		return refusal.WithRan(fault.RanUnknown)
+	}
+	return refusal.WithRetryAfter(retryAfter + rand.N(retryAfter))
+}
+
+// key keeps requests for the same thing at the same worker.
+func (x *exchange) key() string {
+	switch {
+	case x.request.Object != "":
+		return x.request.Object
+	case x.request.Program != "" && x.route.Kind == route.Streaming:
+		return x.request.Program
+	default:
+		return x.request.ID
+	}
+}
+
+// send sends the call to a worker under a context that the watchdog may end.
+func (x *exchange) send(ctx context.Context, worker *backend.Worker) (*Answer, error) {
+	x.sends++
+	x.worker = worker.Record().ID
+	x.options.Metrics.Sends.Inc()
+	call := Call{
+		Request:  x.request,
+		Body:     x.body,
+		Resume:   x.lastEvent,
+		Priority: x.priority(),
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		call.Left = time.Until(deadline)
+	}
+	return x.options.Transport.Send(ctx, worker, call)
+}
+
+// Steps of a worker's priority.
+const (
+	lowestPriority  = 9
+	priorityStep    = 2
+	firstTurnBehind = 1 // programs under way come before new ones
+)
+
+func (x *exchange) priority() int {
+	priority := x.route.Priority * priorityStep
+	if x.home == "" {
+		priority += firstTurnBehind
+	}
+	return min(priority, lowestPriority)
+}
+
+// mayRunElsewhere reports whether the route allows another worker.
+func (x *exchange) mayRunElsewhere() bool { return len(x.ran) < x.route.MaxAttempts }
+
+// markRan notes that a worker may have run the request.
+func (x *exchange) markRan(worker string) {
+	x.touched = true
+	if !slices.Contains(x.ran, worker) {
+		x.ran = append(x.ran, worker)
+	}
+}
+
+// forget takes a worker that is gone out of the count of those asked.
+func (x *exchange) forget(worker string) {
+	x.ran = slices.DeleteFunc(x.ran, func(earlier string) bool { return earlier == worker })
+}
+
+func (x *exchange) exclude(worker string) { x.excluded = append(x.excluded, worker) }
+
+// ended tells the final answer when the request's time is over or its client gone.
+func (x *exchange) ended(ctx context.Context) *fault.Error {
+	ran := fault.RanUnknown
+	if !x.touched {
+		ran = fault.RanNo
+	}
+	if x.client.Err() != nil {
+		return fault.New(fault.DeadlinePassed, "the client left", "nothing is to be done").WithRan(ran)
+	}
+	code := fault.DeadlinePassed
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = fault.Unavailable
+	}
+	return fault.New(code, "the request's time is over", "allow more time, or send less at once").WithRan(ran).WithRetryAfter(retryAfter)
+}
--- /dev/null
+++ b/internal/forward/note.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+)
+
+// Metrics are the counters and histograms of requests.
+type Metrics struct {
+	Requests   *prometheus.CounterVec // by outcome
+	Duration   *prometheus.HistogramVec
+	FirstEvent prometheus.Histogram
+	Sends      prometheus.Counter
+	Declines   prometheus.Counter
+	Failures   prometheus.Counter
+	Unkept     prometheus.Counter
+}
+
+// NewMetrics registers the metrics of requests.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: name, Help: help})
+		registry.MustRegister(c)
+		return c
+	}
+	buckets := []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.6, 3.2}
+	m := &Metrics{
+		Requests:   prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "requests_total", Help: "Requests by final outcome."}, []string{"outcome"}),
+		Duration:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "cloverwheel", Name: "request_seconds", Help: "Time to the final answer.", Buckets: buckets}, []string{"kind"}),
+		FirstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "cloverwheel", Name: "first_event_seconds", Help: "Time to a stream's first event.", Buckets: buckets}),
+		Sends:      counter("worker_sends_total", "Calls sent to workers."),
+		Declines:   counter("worker_declines_total", "Calls that workers declined unrun."),
+		Failures:   counter("worker_failures_total", "Exchanges with workers that broke."),
+		Unkept:     counter("turns_unkept_total", "Turns that ran and could not be kept."),
+	}
+	registry.MustRegister(m.Requests, m.Duration, m.FirstEvent)
+	return m
+}
+
+// outcomeServed is the outcome of a request that got a worker's answer.
+const outcomeServed = "served"
+
+// note logs a request's final outcome with what decided it.
+func (x *exchange) note(refusal *fault.Error) {
+	outcome := outcomeServed
+	if refusal != nil {
+		outcome = string(refusal.Code)
+	}
+	took := time.Since(x.begun)
+	kind := "none"
+	fields := log.Fields{
+		"request": x.request.ID,
+		"outcome": outcome,
+		"ms":      took.Milliseconds(),
+		"sends":   x.sends,
+	}
+	if x.route != nil {
+		kind = string(x.route.Kind)
+		fields["route"] = x.route.Name
+	}
+	if configuration := x.Configuration(); configuration != nil {
+		fields["config"] = int64(configuration.Version)
+	}
+	if x.worker != "" {
+		fields["worker"] = x.worker
+	}
+	if x.home != "" {
+		fields["home"] = x.home
+	}
+	if x.request.Program != "" {
+		fields["program"] = x.request.Program
+	}
+	if x.events > 0 {
+		fields["events"] = x.events
+	}
+	if x.drawn {
+		fields["drawn"] = true
+	}
+	x.options.Metrics.Requests.WithLabelValues(outcome).Inc()
+	x.options.Metrics.Duration.WithLabelValues(kind).Observe(took.Seconds())
+	entry := x.options.Logger.WithFields(fields)
+	if refusal == nil {
+		entry.Info("request")
+		return
+	}
+	entry.WithField("ran", string(refusal.Ran)).WithField("reason", refusal.Message).
+		WithField("retry_after_ms", refusal.RetryAfter.Milliseconds()).Warn("request")
+}
+
+// noteFailure logs a broken exchange with a worker.
+func (x *exchange) noteFailure(worker *backend.Worker, err, cause error) {
+	x.options.Metrics.Failures.Inc()
+	record := worker.Record()
+	entry := x.options.Logger.WithFields(log.Fields{
+		"request": x.request.ID,
+		"worker":  record.ID,
+		"address": record.Address,
+		"send":    x.sends,
+		"events":  x.events,
+	})
+	if cause != nil && cause != context.Canceled {
+		entry = entry.WithField("cause", cause.Error())
+	}
+	entry.WithError(err).Warn("worker failed")
+}
--- /dev/null
+++ b/internal/forward/plain.go
@@ -0,0 +1,166 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/httpconn"
+)
+
+const (
+	// wholeBytes is up to which size an answer is read before it is passed on, so
+	// that one that breaks off can still be replaced.
+	wholeBytes = 256 << 10
+	// safeStall is how long a safe request waits for a silent worker before it
+	// looks whether that is still there.
+	safeStall = 150 * time.Millisecond
+)
+
+// plain serves a request that is answered in one piece.
+func (x *exchange) plain(ctx context.Context) *fault.Error {
+	x.service = x.route.Service(x.draw())
+	x.body = x.request.Body
+	for x.sends < maxSends {
+		worker, refusal := x.choose(ctx)
+		if refusal != nil {
+			return refusal
+		}
+		done, refusal := x.tryPlain(ctx, worker)
+		if done {
+			return refusal
+		}
+		if ctx.Err() != nil {
+			return x.ended(ctx)
+		}
+	}
+	return x.exhausted()
+}
+
+// exhausted is the answer when a request was sent often enough.
+func (x *exchange) exhausted() *fault.Error {
+	if !x.touched {
+		return x.noWorker(fault.Newf(fault.Unavailable, "come back after the time given", "no worker of service %q can be reached", x.service))
+	}
+	return fault.New(fault.EngineFailed, "the worker broke off", "send the request again if it may be repeated").WithRan(fault.RanUnknown)
+}
+
+// tryPlain asks one worker. done means that the request has its final answer:
+// refusal, or the one passed on if that is nil.
+func (x *exchange) tryPlain(ctx context.Context, worker *backend.Worker) (done bool, refusal *fault.Error) {
+	defer worker.Begin()()
+	begun := time.Now()
+	repeatable := x.route.Repeatable()
+	limited, dog := watch(ctx, worker, safeStall, !repeatable)
+	if !repeatable {
+		dog.timer.Stop()
+	}
+	defer dog.stop()
+	answer, err := x.send(limited, worker)
+	if err != nil {
+		return x.failed(ctx, limited, worker, err)
+	}
+	defer answer.Close(false)
+	if answer.Declined {
+		return x.declined(worker, answer), nil
+	}
+	x.markRan(worker.Record().ID)
+	if answer.Length > wholeBytes {
+		return true, x.pass(answer, nil)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes+1))
+	if err != nil {
+		return x.failed(ctx, limited, worker, err)
+	}
+	if len(body) > wholeBytes {
+		return true, x.pass(answer, body)
+	}
+	answer.Close(true)
+	if answer.Status >= http.StatusInternalServerError {
+		worker.Broke(time.Now())
+		if repeatable && x.mayRunElsewhere() {
+			x.exclude(worker.Record().ID)
+			return false, nil
+		}
+	} else {
+		worker.Answered(time.Since(begun))
+	}
+	_ = x.out.Answer(answer.Status, answer.Header, body)
+	return true, nil
+}
+
+// pass passes on an answer that is too long to be held, after what was read of it.
+func (x *exchange) pass(answer *Answer, begun []byte) *fault.Error {
+	x.started = true
+	if err := x.out.Start(answer.Status, answer.Header, answer.Length); err != nil {
+		return x.ended(x.client)
+	}
+	buffer := make([]byte, 32<<10)
+	piece := begun
+	for {
+		if len(piece) > 0 {
+			if err := x.out.Event(piece); err != nil {
+				return x.ended(x.client)
+			}
+		}
+		count, err := answer.Body.Read(buffer)
+		piece = buffer[:count]
+		if errors.Is(err, io.EOF) && count == 0 {
+			answer.Close(true)
+			x.out.End()
+			return nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return x.exhausted()
+		}
+	}
+}
+
+// declined notes a worker's word that it did not run the request.
+func (x *exchange) declined(worker *backend.Worker, answer *Answer) bool {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, wholeBytes))
+	answer.Close(true)
+	worker.Declined(time.Now())
+	x.declines++
+	x.exclude(worker.Record().ID)
+	x.options.Metrics.Declines.Inc()
+	return false
+}
+
+// failed decides what a broken exchange means: whether the request is over, or
+// another worker may be asked.
+func (x *exchange) failed(ctx, limited context.Context, worker *backend.Worker, err error) (bool, *fault.Error) {
+	id := worker.Record().ID
+	written := !errors.Is(err, httpconn.ErrNotWritten)
+	if written {
+		x.markRan(id)
+	}
+	if ctx.Err() != nil {
+		return true, x.ended(ctx)
+	}
+	cause := context.Cause(limited)
+	x.noteFailure(worker, err, cause)
+	if !written {
+		worker.Unreachable(time.Now())
+		x.exclude(id)
+		return false, nil
+	}
+	if errors.Is(cause, errUnreachable) {
+		worker.Unreachable(time.Now())
+		x.exclude(id)
+		x.forget(id)
+	} else {
+		worker.Broke(time.Now())
+	}
+	if !x.route.Repeatable() {
+		return true, fault.New(fault.EngineFailed, "the worker broke off", "look up whether it took effect before sending it again").WithRan(fault.RanUnknown)
+	}
+	if x.mayRunElsewhere() {
+		x.exclude(id)
+	}
+	return false, nil
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/eventstream"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+)
+
+const (
+	// streamStall is how long a stream may be silent before it is looked whether
+	// its worker is still there.
+	streamStall = 400 * time.Millisecond
+	// resendPause is the pause before a request goes to the same worker again,
+	// growing with each time.
+	resendPause = 15 * time.Millisecond
+)
+
+// unknownLength is the length of a stream: it may be taken up by another worker.
+const unknownLength = -1
+
+// errClient is a client that no longer takes what it is sent.
+var errClient = errors.New("the client left")
+
+// stream passes a worker's events on until their proper end. Where the route
+// allows it, a stream that breaks is taken up again after the last event.
+func (x *exchange) stream(ctx context.Context, perEvent int) *fault.Error {
+	for x.sends < maxSends {
+		worker, refusal := x.choose(ctx)
+		if refusal != nil {
+			return refusal
+		}
+		done, refusal := x.tryStream(ctx, worker, perEvent)
+		if done {
+			return refusal
+		}
+		x.pauseBeforeResend(ctx)
+		if ctx.Err() != nil {
+			return x.ended(ctx)
+		}
+	}
+	return x.exhausted()
+}
+
+func (x *exchange) pauseBeforeResend(ctx context.Context) {
+	if len(x.ran) == 0 {
+		return
+	}
+	timer := time.NewTimer(time.Duration(x.sends) * resendPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// tryStream asks one worker. done means that nothing more is to be asked.
+func (x *exchange) tryStream(ctx context.Context, worker *backend.Worker, perEvent int) (done bool, refusal *fault.Error) {
+	defer worker.Begin()()
+	limited, dog := watch(ctx, worker, streamStall, false)
+	defer dog.stop()
+	answer, err := x.send(limited, worker)
+	if err != nil {
+		return x.failed(ctx, limited, worker, err)
+	}
+	defer answer.Close(false)
+	if answer.Declined {
+		return x.declined(worker, answer), nil
+	}
+	x.markRan(worker.Record().ID)
+	if answer.Status != http.StatusOK || !answer.Stream {
+		return x.otherAnswer(ctx, limited, worker, answer)
+	}
+	err = x.passEvents(worker, dog, answer, perEvent)
+	switch {
+	case err == nil:
+		answer.Close(true)
+		return true, nil
+	case errors.Is(err, errClient):
+		return true, x.ended(ctx)
+	default:
+		return x.failed(ctx, limited, worker, err)
+	}
+}
+
+// otherAnswer handles an answer that is no stream.
+func (x *exchange) otherAnswer(ctx, limited context.Context, worker *backend.Worker, answer *Answer) (bool, *fault.Error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes))
+	if err != nil {
+		return x.failed(ctx, limited, worker, err)
+	}
+	answer.Close(true)
+	failure := answer.Status >= http.StatusInternalServerError
+	if failure {
+		worker.Broke(time.Now())
+	}
+	if failure && x.route.Repeatable() && x.sends < maxSends {
+		if x.mayRunElsewhere() {
+			x.exclude(worker.Record().ID)
+		}
+		return false, nil
+	}
+	if x.started {
+		return true, x.exhausted()
+	}
+	_ = x.out.Answer(answer.Status, answer.Header, body)
+	x.answered = true
+	return true, fault.New(fault.EngineFailed, "the worker answered without a stream", "see the worker's own answer").WithRan(fault.RanYes)
+}
+
+// passEvents passes whole events on until the stream's proper end.
+func (x *exchange) passEvents(worker *backend.Worker, dog *watchdog, answer *Answer, perEvent int) error {
+	reader := eventstream.NewReader(answer.Body)
+	begun, before := time.Now(), time.Time{}
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			worker.Answered(time.Since(begun))
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		dog.heard()
+		if err := x.passEvent(answer, event); err != nil {
+			return err
+		}
+		now := time.Now()
+		if !before.IsZero() && perEvent > 0 {
+			worker.Paced(now.Sub(before) / time.Duration(perEvent))
+		}
+		before = now
+	}
+}
+
+func (x *exchange) passEvent(answer *Answer, event eventstream.Event) error {
+	if !x.started {
+		x.started = true
+		x.options.Metrics.FirstEvent.Observe(time.Since(x.begun).Seconds())
+		if err := x.out.Start(answer.Status, answer.Header, unknownLength); err != nil {
+			return errClient
+		}
+	}
+	x.events++
+	if x.route.Retain {
+		x.output = append(append(x.output, event.Data...), '\n')
+	}
+	if len(event.ID) > 0 {
+		x.lastEvent = string(event.ID)
+	}
+	if err := x.out.Event(event.Raw); err != nil {
+		return errClient
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forward/turn.go
@@ -0,0 +1,133 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/route"
+)
+
+// historyRetryAfter is when a turn should come back whose history cannot be read.
+const historyRetryAfter = 700 * time.Millisecond
+
+// turn serves a request that is answered by a stream of events.
+func (x *exchange) turn(ctx context.Context, configuration *route.Configuration) *fault.Error {
+	reservation, chain, refusal := x.prepare(ctx)
+	if refusal != nil {
+		return refusal
+	}
+	x.body = history.Join(chain, x.request.Body)
+	if len(chain) > 0 {
+		x.home = chain[len(chain)-1].Worker
+	}
+	if reservation != nil && x.home == "" {
+		x.home = reservation.Home
+	}
+	x.service = x.serviceOfTurn()
+	perEvent := configuration.Services[x.service].TokensPerEvent
+	refusal = x.stream(ctx, perEvent)
+	if reservation != nil {
+		x.drawn = reservation.Drawn
+		reservation.Settle(x.events*perEvent, x.homeAfter())
+	}
+	if refusal != nil {
+		return refusal
+	}
+	if refusal = x.keep(ctx, chain); refusal != nil {
+		return refusal
+	}
+	x.out.End()
+	return nil
+}
+
+// homeAfter is where the program's context lies after the turn.
+func (x *exchange) homeAfter() string {
+	if x.events == 0 {
+		return ""
+	}
+	return x.worker
+}
+
+// prepare reserves the turn's tokens and reads what was said before, at the
+// same time. Nothing stays reserved if it fails.
+func (x *exchange) prepare(ctx context.Context) (*budget.Reservation, []*history.Turn, *fault.Error) {
+	var reservation *budget.Reservation
+	var chain []*history.Turn
+	var group errgroup.Group
+	if x.request.Budget > 0 && x.request.Program != "" {
+		group.Go(func() (err error) {
+			reservation, err = x.options.Budgets.Reserve(ctx, x.request.Program, x.request.Budget, x.request.Output)
+			return err
+		})
+	}
+	if x.route.Retain && x.request.Continue != "" {
+		group.Go(func() (err error) {
+			chain, err = x.options.History.Chain(ctx, x.request.Continue)
+			return err
+		})
+	}
+	err := group.Wait()
+	if err == nil {
+		return reservation, chain, nil
+	}
+	if reservation != nil {
+		reservation.Settle(0, "")
+	}
+	return nil, nil, x.notPrepared(ctx, err)
+}
+
+func (x *exchange) notPrepared(ctx context.Context, err error) *fault.Error {
+	if errors.Is(err, history.ErrNoTurn) {
+		return fault.Newf(fault.NotFound, "start a new program", "there is no turn %q", x.request.Continue)
+	}
+	var typed *fault.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	if ctx.Err() != nil {
+		return x.ended(ctx)
+	}
+	return fault.Newf(fault.Unavailable, "come back after the time given",
+		"the turn's history cannot be read now: %v", err).WithRetryAfter(historyRetryAfter)
+}
+
+// serviceOfTurn stays with the service that holds the context, if the route
+// still leads there.
+func (x *exchange) serviceOfTurn() string {
+	if x.home != "" {
+		for _, target := range x.route.Targets {
+			if target.Weight > 0 && x.options.Workers.Has(target.Service, x.home) {
+				return target.Service
+			}
+		}
+	}
+	return x.route.Service(x.draw())
+}
+
+// keep makes a turn durable. Until it is, its answer must not end as complete.
+func (x *exchange) keep(ctx context.Context, chain []*history.Turn) *fault.Error {
+	if !x.route.Retain {
+		return nil
+	}
+	turn := &history.Turn{
+		ID:      x.request.ID,
+		Input:   x.request.Body,
+		Output:  x.output,
+		Worker:  x.worker,
+		Expires: time.Now().Add(x.route.Retention),
+	}
+	for _, earlier := range chain {
+		turn.Ancestors = append(turn.Ancestors, earlier.ID)
+	}
+	if err := x.options.History.Keep(ctx, turn); err != nil {
+		x.options.Metrics.Unkept.Inc()
+		return fault.Newf(fault.Unavailable, "send the turn again", "the turn could not be kept: %v", err).WithRan(fault.RanYes)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/history/history.go
@@ -0,0 +1,293 @@
+// Package history keeps what was said in programs: each kept turn is a row of
+// the table with its input, its output and the names of all turns before it, so
+// that any node can go on from any turn after any loss of nodes.
+package history
+
+import (
+	"bytes"
+	"container/list"
+	"context"
+	"encoding/gob"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
+)
+
+// Table is the table's name for turns.
+const Table = "turns"
+
+const (
+	// parts spreads turns over the table's parts.
+	parts = 64
+	// places is how many parts may hold a turn: where a part of the table is
+	// down, the turn is kept in the next.
+	places = 2
+	// placeWait is how long a write waits for one place before it also tries the next.
+	placeWait = 150 * time.Millisecond
+	// readWait is how long a read waits for one place before it also asks the next.
+	readWait = 100 * time.Millisecond
+	// rowBytes is how much of a turn goes into one row.
+	rowBytes = 40 << 10
+	// parallelReads bounds the reads of a cold chain.
+	parallelReads = 16
+)
+
+// ErrNoTurn means that the table has no such turn.
+var ErrNoTurn = errors.New("there is no such turn; start a new program")
+
+// Turn is a finished turn. It is never changed.
+type Turn struct {
+	ID        string
+	Ancestors []string // from the oldest to the one before this
+	Input     []byte
+	Output    []byte // the data of its events, each followed by a line feed
+	Worker    string // that ran it
+	Expires   time.Time
+}
+
+func (t *Turn) size() int { return len(t.Input) + len(t.Output) + 64*(len(t.Ancestors)+2) }
+
+// Options of a Keeper.
+type Options struct {
+	Store      store.Store
+	CacheBytes int
+}
+
+// Keeper reads and writes turns.
+type Keeper struct {
+	options Options
+	mutex   sync.Mutex
+	cached  map[string]*list.Element
+	order   *list.List // newest use first
+	bytes   int
+}
+
+// New returns a keeper with an empty cache.
+func New(options Options) *Keeper {
+	return &Keeper{options: options, cached: map[string]*list.Element{}, order: list.New()}
+}
+
+// Chain returns the turns up to and including the one named, the oldest first.
+// It fails with ErrNoTurn only when the table said so.
+func (k *Keeper) Chain(ctx context.Context, id string) ([]*Turn, error) {
+	last, err := k.turn(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	chain := make([]*Turn, len(last.Ancestors)+1)
+	chain[len(last.Ancestors)] = last
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelReads)
+	for index, ancestor := range last.Ancestors {
+		if known := k.lookUp(ancestor); known != nil {
+			chain[index] = known
+			continue
+		}
+		group.Go(func() error {
+			turn, err := k.turn(ctx, ancestor)
+			chain[index] = turn
+			return err
+		})
+	}
+	return chain, group.Wait()
+}
+
+func (k *Keeper) turn(ctx context.Context, id string) (*Turn, error) {
+	if known := k.lookUp(id); known != nil {
+		return known, nil
+	}
+	turn, err := k.read(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	k.remember(turn)
+	return turn, nil
+}
+
+// found is what one place said of a turn; neither turn nor err: it is not there.
+type found struct {
+	turn *Turn
+	err  error
+}
+
+// read asks the places of a turn, the next one when the one before has no
+// answer or no turn. Only if all of them have no turn there is none.
+func (k *Keeper) read(ctx context.Context, id string) (*Turn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan found, places)
+	asked, missing := 0, 0
+	ask := func() {
+		place := asked
+		asked++
+		go func() {
+			turn, err := k.readPlace(ctx, id, place)
+			answers <- found{turn: turn, err: err}
+		}()
+	}
+	ask()
+	timer := time.NewTimer(readWait)
+	defer timer.Stop()
+	var failure error
+	for answered := 0; answered < places; {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timer.C:
+			if asked < places {
+				ask()
+			}
+		case answer := <-answers:
+			answered++
+			switch {
+			case answer.turn != nil:
+				return answer.turn, nil
+			case answer.err != nil:
+				failure = answer.err
+			default:
+				missing++
+			}
+			if asked < places {
+				ask()
+			}
+		}
+	}
+	if missing == places {
+		return nil, ErrNoTurn
+	}
+	return nil, failure
+}
+
+func (k *Keeper) readPlace(ctx context.Context, id string, place int) (*Turn, error) {
+	page, err := k.options.Store.Range(ctx, Table, partOf(id, place), id, id+"0", 0)
+	if err != nil || len(page.Rows) == 0 {
+		return nil, err
+	}
+	var whole []byte
+	for _, row := range page.Rows {
+		whole = append(whole, row.Value...)
+	}
+	turn := new(Turn)
+	err = gob.NewDecoder(bytes.NewReader(whole)).Decode(turn)
+	return turn, err
+}
+
+// partOf is the part of a turn's place.
+func partOf(id string, place int) string {
+	hash := xxhash.Sum64String(id)
+	return "t" + strconv.FormatUint((hash+uint64(place)*(1+hash>>32%(parts-1)))%parts, 10)
+}
+
+// rowName is the name of a turn's row number index. All of them lie between the
+// turn's name and the same followed by "0".
+func rowName(id string, index int) string {
+	if index == 0 {
+		return id
+	}
+	return id + "/" + strconv.Itoa(index)
+}
+
+// Keep writes a turn and returns once one of its places holds it. Writing a turn
+// again does no harm: a turn never changes.
+func (k *Keeper) Keep(ctx context.Context, turn *Turn) error {
+	var encoded bytes.Buffer
+	if err := gob.NewEncoder(&encoded).Encode(turn); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, places)
+	for place := range places {
+		go func() {
+			if !pause(ctx, time.Duration(place)*placeWait) {
+				results <- ctx.Err()
+				return
+			}
+			_, err := store.CommitHedged(ctx, k.options.Store, turn.transaction(encoded.Bytes(), place))
+			results <- err
+		}()
+	}
+	var failure error
+	for range places {
+		err := <-results
+		if err == nil {
+			k.remember(turn)
+			return nil
+		}
+		failure = err
+	}
+	return failure
+}
+
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait == 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (t *Turn) transaction(encoded []byte, place int) store.Transaction {
+	part := partOf(t.ID, place)
+	var transaction store.Transaction
+	for index := 0; len(encoded) > 0; index++ {
+		piece := encoded[:min(rowBytes, len(encoded))]
+		encoded = encoded[len(piece):]
+		key := store.Key{Table: Table, Part: part, Name: rowName(t.ID, index)}
+		transaction.Put = append(transaction.Put, store.Row{Key: key, Value: piece})
+	}
+	return transaction
+}
+
+func (k *Keeper) lookUp(id string) *Turn {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	element, ok := k.cached[id]
+	if !ok {
+		return nil
+	}
+	k.order.MoveToFront(element)
+	return element.Value.(*Turn)
+}
+
+// remember caches a turn and drops the longest unused beyond the cache's size.
+func (k *Keeper) remember(turn *Turn) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if _, ok := k.cached[turn.ID]; ok {
+		return
+	}
+	k.cached[turn.ID] = k.order.PushFront(turn)
+	k.bytes += turn.size()
+	for k.bytes > k.options.CacheBytes && k.order.Len() > 1 {
+		oldest := k.order.Remove(k.order.Back()).(*Turn)
+		delete(k.cached, oldest.ID)
+		k.bytes -= oldest.size()
+	}
+}
+
+// Join writes a chain's turns and the new input as a worker is to get them.
+func Join(chain []*Turn, input []byte) []byte {
+	size := len(input)
+	for _, turn := range chain {
+		size += len(turn.Input) + len(turn.Output)
+	}
+	whole := make([]byte, 0, size)
+	for _, turn := range chain {
+		whole = append(whole, turn.Input...)
+		whole = append(whole, turn.Output...)
+	}
+	return append(whole, input...)
+}
--- /dev/null
+++ b/internal/httpconn/conn.go
@@ -0,0 +1,235 @@
+// Package httpconn keeps HTTP/1.1 connections to one address and decides which
+// of them may be used again. net/http's own client hides its connections; here
+// a connection on which anything odd was seen must never carry a request again,
+// and it must be known whether any byte of a request was written.
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// ErrNotWritten is in the chain of errors of requests of which no byte was sent.
+var ErrNotWritten = errors.New("nothing was written; another worker may be tried")
+
+// Buffer sizes of a connection, in bytes.
+const (
+	readBuffer  = 4 << 10
+	writeBuffer = 4 << 10
+)
+
+// keepAliveMargin is how long before the peer's announced end an idle
+// connection is no longer used, so that requests do not cross its close.
+const keepAliveMargin = 400 * time.Millisecond
+
+// Options of a Pool.
+type Options struct {
+	Address     string
+	DialTimeout time.Duration
+	MaxIdle     int           // idle connections kept
+	IdleTimeout time.Duration // where the peer announces nothing
+	OnDial      func()        // counts new connections; may be nil
+}
+
+// Pool holds the idle connections to an address.
+type Pool struct {
+	options Options
+	mutex   sync.Mutex
+	idle    []*conn
+	closed  bool
+}
+
+// NewPool returns an empty pool.
+func NewPool(options Options) *Pool { return &Pool{options: options} }
+
+// conn is a connection that carries one request at a time.
+type conn struct {
+	net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	keepAlive time.Duration
+	expires   time.Time
+}
+
+// Answer is a response whose body must be read or discarded, then closed.
+type Answer struct {
+	*http.Response
+	Reused  bool // the connection had carried a request before
+	pool    *Pool
+	conn    *conn
+	stop    func() bool
+	done    bool
+	spoiled atomic.Bool
+}
+
+// Send writes the request and reads the head of its answer. The end of ctx
+// closes the connection, also while the body is read. If nothing was written,
+// the error's chain holds ErrNotWritten.
+func (p *Pool) Send(ctx context.Context, request *http.Request) (*Answer, error) {
+	c, reused, err := p.take(ctx)
+	if err != nil {
+		return nil, errors.Join(ErrNotWritten, err)
+	}
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	if err := c.write(request); err != nil {
+		stop()
+		c.Conn.Close()
+		return nil, err
+	}
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		stop()
+		c.Conn.Close()
+		return nil, err
+	}
+	return &Answer{Response: response, Reused: reused, pool: p, conn: c, stop: stop}, nil
+}
+
+func (c *conn) write(request *http.Request) error {
+	if err := request.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// Spoil makes sure that the connection is not used again.
+func (a *Answer) Spoil() { a.spoiled.Store(true) }
+
+// Close ends the exchange. Only a connection whose answer was read to its
+// proper end, with nothing after it, is kept.
+func (a *Answer) Close(readWhole bool) {
+	if a.done {
+		return
+	}
+	a.done = true
+	if !a.stop() || !readWhole || a.spoiled.Load() || a.Response.Close || a.conn.reader.Buffered() > 0 {
+		a.conn.Conn.Close()
+		return
+	}
+	if limit, ok := keepAliveOf(a.Header); ok {
+		a.conn.keepAlive = limit
+	}
+	a.pool.put(a.conn)
+}
+
+// keepAliveOf reads the timeout of a Keep-Alive header.
+func keepAliveOf(header http.Header) (time.Duration, bool) {
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err == nil && seconds >= 0 {
+			return time.Duration(seconds) * time.Second, true
+		}
+	}
+	return 0, false
+}
+
+func (p *Pool) take(ctx context.Context) (*conn, bool, error) {
+	for {
+		c := p.pop()
+		if c == nil {
+			fresh, err := p.dial(ctx)
+			return fresh, false, err
+		}
+		if time.Now().Before(c.expires) && quiet(c.Conn) {
+			return c, true, nil
+		}
+		c.Conn.Close()
+	}
+}
+
+func (p *Pool) pop() *conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	last := len(p.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	c := p.idle[last]
+	p.idle = p.idle[:last]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	if p.options.OnDial != nil {
+		p.options.OnDial()
+	}
+	dialer := net.Dialer{Timeout: p.options.DialTimeout, KeepAlive: -1}
+	raw, err := dialer.DialContext(ctx, "tcp", p.options.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{
+		Conn:      raw,
+		reader:    bufio.NewReaderSize(raw, readBuffer),
+		writer:    bufio.NewWriterSize(raw, writeBuffer),
+		keepAlive: p.options.IdleTimeout,
+	}, nil
+}
+
+func (p *Pool) put(c *conn) {
+	c.expires = time.Now().Add(c.keepAlive - keepAliveMargin)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed || len(p.idle) >= p.options.MaxIdle {
+		c.Conn.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// Reachable opens a connection and keeps it. It tells a worker that is slow
+// from one that is gone.
+func (p *Pool) Reachable(ctx context.Context) bool {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return false
+	}
+	p.put(c)
+	return true
+}
+
+// Close drops all idle connections.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.Conn.Close()
+	}
+	p.idle = nil
+}
+
+// Next reads past this answer's body, of at most limit bytes, and returns the
+// next answer that comes on the same connection, which is not used again.
+func (a *Answer) Next(limit int64) (*Answer, error) {
+	a.done = true
+	_, err := io.CopyN(io.Discard, a.Body, limit)
+	if err == nil {
+		err = errors.New("the answer is too long to be read past")
+	}
+	if errors.Is(err, io.EOF) {
+		var response *http.Response
+		response, err = http.ReadResponse(a.conn.reader, a.Request)
+		if err == nil {
+			next := &Answer{Response: response, Reused: a.Reused, pool: a.pool, conn: a.conn, stop: a.stop}
+			next.Spoil()
+			return next, nil
+		}
+	}
+	a.stop()
+	a.conn.Conn.Close()
+	return nil, err
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -16,6 +16,9 @@
 	Home    id.Worker // where the program's last call ran; empty if unknown
 	Zone    string    // of the program's leader
 	Exclude []id.Worker
+	// Key, if given, breaks ties: calls with the same key prefer the same worker,
+	// whichever node decides. Without it ties are broken by random.
+	Key string
 	// Sequence numbers the decisions of one placer; round robin counts by it.
 	Sequence uint64
 }
--- a/internal/place/select.go
+++ b/internal/place/select.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -41,12 +43,27 @@
 			return index
 		}
 	}
+	if query.Key != "" {
+		return preferred(query.Key, ranked[:tied])
+	}
 	if tied == 1 || random == nil {
 		return 0
 	}
 	return random.IntN(tied)
 }
 
+// preferred is the index of the worker that ranks first by rendezvous hashing.
+func preferred(key string, tied []Candidate) int {
+	best, highest := 0, uint64(0)
+	for index, candidate := range tied {
+		weight := xxhash.Sum64String(key + "\x00" + string(candidate.Worker))
+		if weight > highest {
+			best, highest = index, weight
+		}
+	}
+	return best
+}
+
 func decide(ranked []Candidate, chosen int) Decision {
 	decision := Decision{Worker: ranked[chosen].Worker, Expected: ranked[chosen].Expected()}
 	second := 0
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,146 @@
+// Package route holds the configuration that says which service takes a
+// request, and under which limits. A Configuration is never changed once made.
+package route
+
+import (
+	"strings"
+	"time"
+)
+
+// Version orders configurations; a higher one is newer.
+type Version int64
+
+// Kind says how often a request may run.
+type Kind string
+
+// The kinds of requests.
+const (
+	Safe      Kind = "safe"      // may run more than once
+	Unsafe    Kind = "unsafe"    // runs at most once
+	Streaming Kind = "streaming" // answered by a stream of events
+)
+
+// Target is a service that takes a share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route says where requests for a host and a path prefix go.
+type Route struct {
+	Name        string
+	Host        string
+	PathPrefix  string // begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // longest time that a request is held; 0: no limit
+	Objective   time.Duration // for an answer, or a stream's first event
+	Priority    int           // 0 is the highest
+	MaxAttempts int           // workers that one request may be run on; at least 1
+	Sticky      bool          // workers are faster with objects they know
+	Resumable   bool          // a stream may go on at another worker
+	Retain      bool          // turns are kept and continued from
+	Retention   time.Duration
+	Targets     []Target
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
+}
+
+// Service picks the target for a draw in [0, 1), by weight.
+func (r *Route) Service(draw float64) string {
+	total := 0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	left := draw * float64(total)
+	for _, target := range r.Targets {
+		left -= float64(target.Weight)
+		if left < 0 {
+			return target.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Serves reports whether service is one of the route's targets.
+func (r *Route) Serves(service string) bool {
+	for _, target := range r.Targets {
+		if target.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Service describes the workers behind a name.
+type Service struct {
+	Name           string
+	MaxConnections int // that each worker takes from all callers together
+	Model          bool
+	TokensPerEvent int // that one event of a stream stands for
+}
+
+// Limits bound what clients may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is one version of all routes.
+type Configuration struct {
+	Version  Version
+	Services map[string]Service
+	Limits   Limits
+	hosts    map[string][]Route
+	routes   int
+}
+
+// New indexes the routes of a version.
+func New(version Version, routes []Route, services []Service, limits Limits) *Configuration {
+	configuration := &Configuration{
+		Version:  version,
+		Services: make(map[string]Service, len(services)),
+		Limits:   limits,
+		hosts:    map[string][]Route{},
+		routes:   len(routes),
+	}
+	for _, service := range services {
+		configuration.Services[service.Name] = service
+	}
+	for _, route := range routes {
+		host := strings.ToLower(route.Host)
+		route.MaxAttempts = max(route.MaxAttempts, 1)
+		configuration.hosts[host] = append(configuration.hosts[host], route)
+	}
+	return configuration
+}
+
+// Len is the number of routes.
+func (c *Configuration) Len() int { return c.routes }
+
+// Match finds the route with the longest prefix of path for host, which may
+// carry a port; nil if there is none.
+func (c *Configuration) Match(host, path string) *Route {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	routes := c.hosts[strings.ToLower(host)]
+	var best *Route
+	for index := range routes {
+		candidate := &routes[index]
+		if !strings.HasPrefix(path, candidate.PathPrefix) {
+			continue
+		}
+		if best == nil || len(candidate.PathPrefix) > len(best.PathPrefix) {
+			best = candidate
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/server/metrics.go
@@ -0,0 +1,28 @@
+package server
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cloverwheel/cloverwheel/internal/forward"
+)
+
+// Metrics are a node's counters and histograms.
+type Metrics struct {
+	Registry *prometheus.Registry
+	Requests *forward.Metrics
+	Dials    prometheus.Counter
+	Table    *prometheus.CounterVec // by call
+}
+
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics() *Metrics {
+	registry := prometheus.NewRegistry()
+	m := &Metrics{
+		Registry: registry,
+		Requests: forward.NewMetrics(registry),
+		Dials:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_connections_total", Help: "New connections to workers."}),
+		Table:    prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_calls_total", Help: "Calls to the table."}, []string{"call"}),
+	}
+	registry.MustRegister(m.Dials, m.Table)
+	return m
+}
--- /dev/null
+++ b/internal/server/records.go
@@ -0,0 +1,72 @@
+package server
+
+import (
+	"github.com/apex/log"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
+)
+
+func (s *Server) takeConfigurations(rows []store.Row) {
+	for _, row := range rows {
+		configuration, ok, err := s.options.Records.Configuration(row)
+		if !ok {
+			continue
+		}
+		if err != nil {
+			s.options.Logger.WithError(err).Error("configuration not understood, keeping the one in force")
+			continue
+		}
+		taken := s.forwarder.SetConfiguration(configuration)
+		s.options.Logger.WithFields(log.Fields{
+			"version":  int64(configuration.Version),
+			"routes":   configuration.Len(),
+			"revision": uint64(row.Version),
+			"taken":    taken,
+		}).Info("configuration")
+	}
+}
+
+// replaceWorkers takes over the whole list: who is not on it is gone.
+func (s *Server) replaceWorkers(rows []store.Row) {
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		listed[row.Name] = true
+	}
+	for _, id := range s.workers.IDs() {
+		if !listed[id] {
+			s.removeWorker(id)
+		}
+	}
+	s.changeWorkers(rows)
+	s.listed.Store(true)
+}
+
+func (s *Server) changeWorkers(rows []store.Row) {
+	for _, row := range rows {
+		if row.Gone {
+			s.removeWorker(row.Name)
+			continue
+		}
+		record, err := s.options.Records.Worker(row)
+		if err != nil {
+			s.options.Logger.WithError(err).WithField("worker", row.Name).Error("worker's entry not understood, left out")
+			continue
+		}
+		if !s.workers.Put(record) {
+			continue
+		}
+		s.options.Logger.WithFields(log.Fields{
+			"worker":   record.ID,
+			"service":  record.Service,
+			"address":  record.Address,
+			"zone":     record.Zone,
+			"draining": record.Draining,
+			"revision": uint64(row.Version),
+		}).Info("worker")
+	}
+}
+
+func (s *Server) removeWorker(id string) {
+	s.workers.Remove(id)
+	s.options.Logger.WithField("worker", id).Info("worker gone")
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,215 @@
+// Package server is one node before the workers: it follows the configuration
+// and the list of workers, takes clients' connections, says whether it is ready,
+// and stops without cutting a request. It keeps nothing that outlasts it.
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/follow"
+	"github.com/cloverwheel/cloverwheel/internal/forward"
+	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/store"
+)
+
+// Settings are what the machine gives to a node.
+type Settings struct {
+	Node        string
+	Zone        string
+	Front       string // IP:PORT for clients
+	Ready       string // IP:PORT for questions whether this node is ready
+	Metrics     string // IP:PORT for metrics; empty: none
+	MemoryBytes int64  // that the process may use; 0: not limited
+	Grace       time.Duration
+}
+
+// Records decodes the rows of the tables that are followed.
+type Records struct {
+	ConfigurationTable string
+	WorkersTable       string
+	// Configuration decodes a configuration; ok is false for other rows.
+	Configuration func(store.Row) (configuration *route.Configuration, ok bool, err error)
+	Worker        func(store.Row) (backend.Record, error)
+}
+
+// Options of a Server.
+type Options struct {
+	Settings  Settings
+	Process   string // unique to this process
+	Store     store.Store
+	Transport forward.Transport
+	Records   Records
+	// DialTimeout is how long a worker may take to accept a connection.
+	DialTimeout time.Duration
+	// Front and Ready make the handlers of the two addresses.
+	Front   func(*Server) http.Handler
+	Ready   func(*Server) http.Handler
+	Metrics *Metrics
+	Logger  log.Interface
+}
+
+// Server is a node.
+type Server struct {
+	options   Options
+	forwarder *forward.Forwarder
+	workers   *backend.Registry
+	draining  atomic.Bool
+	listed    atomic.Bool // the list of workers is known
+	drain     chan struct{}
+	inFlight  atomic.Int64 // bytes of bodies
+}
+
+const (
+	// memoryForBodies and memoryForHistory are the shares of the process's memory
+	// that requests' bodies and cached turns may take.
+	memoryForBodies  = 8 // an eighth
+	memoryForHistory = 10
+	// heapShare of the memory is where the garbage collector begins to work harder.
+	heapShare = 0.7
+	// defaultMemory is taken where no limit is given.
+	defaultMemory = 256 << 20
+	// gatherWorkers bounds how often the list of workers is asked for.
+	gatherWorkers = 300 * time.Millisecond
+)
+
+// New returns a node that is not running yet.
+func New(options Options) *Server {
+	if options.Settings.MemoryBytes == 0 {
+		options.Settings.MemoryBytes = defaultMemory
+	}
+	workers := backend.NewRegistry(backend.Options{
+		Zone:        options.Settings.Zone,
+		DialTimeout: options.DialTimeout,
+		OnDial:      options.Metrics.Dials.Inc,
+	})
+	return &Server{
+		options: options,
+		workers: workers,
+		drain:   make(chan struct{}),
+		forwarder: forward.New(forward.Options{
+			Workers:   workers,
+			Transport: options.Transport,
+			Budgets:   budget.NewBook(budget.Options{Store: options.Store, Holder: options.Process}),
+			History:   history.New(history.Options{Store: options.Store, CacheBytes: int(options.Settings.MemoryBytes / memoryForHistory)}),
+			Metrics:   options.Metrics.Requests,
+			Logger:    options.Logger,
+		}),
+	}
+}
+
+// Forwarder serves requests.
+func (s *Server) Forwarder() *forward.Forwarder { return s.forwarder }
+
+// Draining reports whether the node is stopping.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// IsReady reports whether the node should get new connections.
+func (s *Server) IsReady() bool {
+	return !s.draining.Load() && s.listed.Load() && s.forwarder.Configuration() != nil
+}
+
+// Admit counts a body's bytes against the memory for bodies.
+func (s *Server) Admit(bytes int64) (release func(), ok bool) {
+	room := s.options.Settings.MemoryBytes / memoryForBodies
+	if s.inFlight.Add(bytes) > room {
+		s.inFlight.Add(-bytes)
+		return nil, false
+	}
+	return func() { s.inFlight.Add(-bytes) }, true
+}
+
+// Drain begins a planned stop; Run returns when it is over.
+func (s *Server) Drain() {
+	if s.draining.CompareAndSwap(false, true) {
+		s.options.Logger.Info("stopping: not ready, clients are sent elsewhere")
+		close(s.drain)
+	}
+}
+
+// Run serves until ctx ends or a planned stop is over.
+func (s *Server) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(heapShare * float64(s.options.Settings.MemoryBytes)))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, follower := range s.followers() {
+		group.Go(func() error {
+			follower.Run(ctx)
+			return nil
+		})
+	}
+	front := &http.Server{
+		Handler:           s.options.Front(s),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          nil,
+	}
+	ready := &http.Server{Handler: s.options.Ready(s), ReadHeaderTimeout: readHeaderTimeout}
+	if err := s.serve(group, front, s.options.Settings.Front); err != nil {
+		return err
+	}
+	if err := s.serve(group, ready, s.options.Settings.Ready); err != nil {
+		return err
+	}
+	s.options.Logger.WithField("front", s.options.Settings.Front).Info("started")
+	group.Go(func() error {
+		defer cancel()
+		s.awaitStop(ctx, front)
+		return ready.Close()
+	})
+	return group.Wait()
+}
+
+// Limits of connections that hold whatever the configuration says.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 75 * time.Second
+	maxHeaderBytes    = 256 << 10
+)
+
+func (s *Server) serve(group *errgroup.Group, server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+func (s *Server) followers() []*follow.Follower {
+	return []*follow.Follower{
+		follow.New(follow.Options{
+			Store:   s.options.Store,
+			Table:   s.options.Records.ConfigurationTable,
+			Replace: s.takeConfigurations,
+			Change:  s.takeConfigurations,
+			Logger:  s.options.Logger,
+		}),
+		follow.New(follow.Options{
+			Store:   s.options.Store,
+			Table:   s.options.Records.WorkersTable,
+			Replace: s.replaceWorkers,
+			Change:  s.changeWorkers,
+			Gather:  gatherWorkers,
+			Logger:  s.options.Logger,
+		}),
+	}
+}
--- /dev/null
+++ b/internal/server/stop.go
@@ -0,0 +1,39 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const (
+	// leaveTime is how long a stopping node goes on taking connections, so that
+	// nobody is sent to a closed door: two missed questions and some more.
+	leaveTime = 2500 * time.Millisecond
+	// exitMargin is what is left of the grace when the last requests are cut.
+	exitMargin = 400 * time.Millisecond
+)
+
+// awaitStop returns when the node is to end at once, or has ended its requests.
+func (s *Server) awaitStop(ctx context.Context, front *http.Server) {
+	select {
+	case <-ctx.Done():
+		front.Close()
+		return
+	case <-s.drain:
+	}
+	begun := time.Now()
+	timer := time.NewTimer(leaveTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	limited, cancel := context.WithDeadline(ctx, begun.Add(s.options.Settings.Grace-exitMargin))
+	defer cancel()
+	err := front.Shutdown(limited)
+	s.options.Logger.WithField("ms", time.Since(begun).Milliseconds()).WithField("all_ended", err == nil).Info("stopped")
+	if err != nil {
+		front.Close()
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,90 @@
+// Package store is the interface to the transactional table in which everything
+// that must outlast a process is kept. It has no implementation of its own:
+// package platform speaks to the real one, package storetest is a stand-in.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Version is a row's place in the table's single order of transactions. Zero
+// stands for "no such row".
+type Version uint64
+
+// Key names a row. All rows that one transaction touches share a Part.
+type Key struct {
+	Table string
+	Part  string
+	Name  string
+}
+
+// Row is a row as of Version.
+type Row struct {
+	Key
+	Value   []byte
+	Version Version
+	Gone    bool // removed; only Watch returns such rows
+}
+
+// Condition demands that a row still has the version given.
+type Condition struct {
+	Key
+	Version Version
+}
+
+// Transaction is applied as a whole or not at all.
+type Transaction struct {
+	Conditions []Condition
+	Put        []Row // Version and Gone are not used
+	Remove     []Key
+}
+
+// Page is the answer to a read.
+type Page struct {
+	Rows    []Row
+	Version Version // the newest of the table when it was read
+	More    bool
+}
+
+// Store is the table. All methods are safe for concurrent use.
+type Store interface {
+	// Commit applies the transaction. It fails with *Conflict, with ErrNotDone
+	// when it certainly had no effect, and with any other error when it may have
+	// had one or may still have one later, if its conditions hold then.
+	Commit(ctx context.Context, transaction Transaction) (Version, error)
+	// Range reads the rows of a part with from <= Name, and Name < to unless to
+	// is empty, by ascending names; limit 0 is the table's own limit.
+	Range(ctx context.Context, table, part, from, to string, limit int) (Page, error)
+	// Watch waits for changes of a table after the version, at most for wait. It
+	// fails with ErrHistoryGone when the table no longer knows them.
+	Watch(ctx context.Context, table string, after Version, wait time.Duration) (Page, error)
+}
+
+var (
+	// ErrNotDone means that the call had no effect and never will.
+	ErrNotDone = errors.New("the table refused the call; try again later")
+	// ErrHistoryGone means that the changes asked for are forgotten.
+	ErrHistoryGone = errors.New("the table forgot these changes; read the rows as a whole, then watch again")
+)
+
+// Conflict is the refusal of a transaction whose conditions do not hold. Rows
+// are the conditions' rows as they are now; missing ones do not exist.
+type Conflict struct{ Rows []Row }
+
+// Error implements error.
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("the conditions no longer hold (%d rows returned); decide anew by the rows as they are", len(c.Rows))
+}
+
+// Find returns the row named key, or a row with version zero if there is none.
+func (c *Conflict) Find(key Key) Row {
+	for _, row := range c.Rows {
+		if row.Key == key {
+			return row
+		}
+	}
+	return Row{Key: key}
+}
