--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -1,85 +1,39 @@
 // Package budget keeps each program within the tokens that it may generate,
-// through whatever nodes its turns go. A program's account is one row of the
-// table. Before a turn is sent to a worker, the most that it may generate is
-// drawn from the account by a conditional transaction, so what all nodes have
-// drawn together never exceeds the budget. A node that dies strands what it had
-// drawn and not used: too little is spent then, never too much.
+// through whatever nodes its turns go. A program's account is a few rows of the
+// table, its shares. Before a turn is sent to a worker, the most that it may
+// generate is drawn from a share by a conditional transaction, so what all nodes
+// have drawn together never exceeds the budget. A node that dies strands what it
+// had drawn and not used: too little is spent then, never too much.
 package budget
 
 import (
-	"bytes"
-	"encoding/gob"
-	"strconv"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/cloverwheel/cloverwheel/internal/store"
 )
 
-// Table is the table's name for accounts.
-const Table = "budgets"
-
-// parts spreads accounts over the table's parts.
-const parts = 64
-
-// row is what the table keeps of an account.
-type row struct {
-	Drawn int               // tokens that nodes hold or have used
-	Last  map[string]uint64 // the newest transaction of each node that drew
-	Home  string            // worker that ran the program's newest turn
-}
-
-func (r row) encode() []byte {
-	var buffer bytes.Buffer
-	if err := gob.NewEncoder(&buffer).Encode(r); err != nil {
-		panic(err) // a row has only plain fields
-	}
-	return buffer.Bytes()
-}
-
-func decode(stored store.Row) (row, error) {
-	decoded := row{}
-	if stored.Version == 0 {
-		return decoded, nil
-	}
-	err := gob.NewDecoder(bytes.NewReader(stored.Value)).Decode(&decoded)
-	return decoded, err
-}
-
-func keyOf(program string) store.Key {
-	part := xxhash.Sum64String(program) % parts
-	return store.Key{Table: Table, Part: "b" + strconv.FormatUint(part, 10), Name: program}
-}
-
 // account is a program's account as this node knows it.
 type account struct {
-	key      store.Key
-	turn     chan struct{} // held by the one who talks to the table
-	mutex    sync.Mutex
-	known    row
-	version  store.Version
-	free     int // drawn by this node and not in use
-	open     int // reservations in use
-	home     string
-	sequence uint64
-	unsure   []draw // transactions of unknown effect, all on the known version
-	used     time.Time
-}
-
-// draw is one transaction on an account.
-type draw struct {
-	sequence uint64
-	tokens   int // negative when given back
+	turn   chan struct{} // held by the one who uses the shares
+	shares [shares]*share
+
+	mutex sync.Mutex
+	free  int // drawn by this node and not in use
+	open  int // reservations in use
+	home  string
+	used  time.Time
+	spent time.Time // when the table last said that the budget is spent
 }
 
-func newAccount(program string) *account {
-	return &account{key: keyOf(program), turn: make(chan struct{}, 1)}
+func newAccount(program, holder string) *account {
+	opened := &account{turn: make(chan struct{}, 1)}
+	for index := range opened.shares {
+		opened.shares[index] = &share{key: keyOf(program, index), holder: holder}
+	}
+	return opened
 }
 
-// takeFree reserves from what this node already holds.
-func (a *account) takeFree(tokens int) bool {
+// take reserves from what this node already holds.
+func (a *account) take(tokens int) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.free < tokens {
@@ -90,34 +44,52 @@
 	return true
 }
 
-// learn takes over the row as the table has it.
-func (a *account) learn(holder string, stored store.Row) error {
-	known, err := decode(stored)
-	if err != nil {
-		return err
-	}
+// add puts drawn tokens to the free ones.
+func (a *account) add(tokens int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.free += tokens
+}
+
+// lacks is how many free tokens are missing for a turn.
+func (a *account) lacks(tokens int) int {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.known, a.version = known, stored.Version
-	if a.home == "" {
-		a.home = known.Home
+	return tokens - a.free
+}
+
+// left is what nobody has drawn of the budget, as far as this node knows. The
+// caller holds the turn.
+func (a *account) left(budget int) int {
+	total := 0
+	for index, share := range a.shares {
+		total += share.left(limitOf(budget, index))
 	}
-	a.settleUnsure(known.Last[holder])
-	return nil
+	return total
 }
 
-// settleUnsure takes over the effect of the transaction that the row shows.
-// The others were conditional on a version that the row has left: they had no
-// effect and never will.
-func (a *account) settleUnsure(newest uint64) {
-	for _, change := range a.unsure {
-		if change.sequence == newest {
-			a.applied(change)
+// homeOf returns the worker of the program's newest turn: this node's own word,
+// else what a share says. The caller holds the turn.
+func (a *account) homeOf() string {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, share := range a.shares {
+		if a.home == "" {
+			a.home = share.known.Home
 		}
 	}
-	a.unsure = nil
+	return a.home
 }
 
-// applied takes over the effect of a transaction of this node. What was given
-// back had left this node's hands before.
-func (a *account) applied(done draw) { a.free += max(0, done.tokens) }
+// withdraw takes all free tokens out of this node's hands, if no turn runs.
+// They are not used again here, whatever becomes of giving them back.
+func (a *account) withdraw() int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.open > 0 {
+		return 0
+	}
+	tokens := a.free
+	a.free = 0
+	return tokens
+}
--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"sync"
 	"time"
 
@@ -14,19 +13,29 @@
 const (
 	// aheadTurns is for how many further turns a node draws at once, so that most
 	// turns need no call and programs under way outlive short outages.
-	aheadTurns = 3
-	// aheadShare of what is left is the most that is drawn ahead: what a dying
-	// node strands stays small against the budget.
-	aheadShare = 4
-	// returnAfter is how long tokens of a program whose budget runs low stay at a
-	// node that has no use for them.
-	returnAfter = 150 * time.Millisecond
+	aheadTurns = 4
+	// aheadShare of what is left is the most that is drawn ahead: what a node
+	// holds idle or strands stays small against the budget.
+	aheadShare = 6
+	// lowTurns is how few turns must be left of a budget for idle tokens to be
+	// given back at once.
+	lowTurns = 6
+	// giveBackAfter is how long idle tokens of such a program stay at a node.
+	giveBackAfter = 120 * time.Millisecond
+	// spentFor is for how long a budget that was spent is taken to be so.
+	spentFor = time.Second
 	// forgetAfter is how long a program may rest before this node forgets it.
 	forgetAfter = 3 * time.Minute
-	// tableWait is how long a turn waits for the table before it is refused.
-	tableWait = 900 * time.Millisecond
-	// retryAfter is when a turn that the table kept waiting should come back.
-	retryAfter = 700 * time.Millisecond
+	// shareWait is how long one share is waited for before the next is tried.
+	shareWait = 130 * time.Millisecond
+	// longestWait and waitShare, of the turn's time, bound how long a turn waits
+	// for the table before it is refused.
+	longestWait = 900 * time.Millisecond
+	waitShare   = 0.38
+	// retryShare of the time left is when a turn that the table kept waiting
+	// should come back; longer than a third no client waits.
+	retryShare   = 0.3
+	longestRetry = 900 * time.Millisecond
 )
 
 // Options of a Book.
@@ -55,70 +64,131 @@
 	Drawn   bool   // the table was asked
 	book    *Book
 	account *account
-	limit   int
+	budget  int
 	once    sync.Once
 }
 
-// Reserve reserves tokens for a turn of a program whose budget is limit. It
+// Reserve reserves tokens for a turn of a program with the budget given. It
 // fails with fault.BudgetExhausted when the table says that they are not left,
 // and with fault.Unavailable when it does not say anything; nothing is
 // reserved then.
-func (b *Book) Reserve(ctx context.Context, program string, limit, tokens int) (*Reservation, error) {
+func (b *Book) Reserve(ctx context.Context, program string, budget, tokens int) (*Reservation, error) {
 	account := b.account(program)
-	if account.takeFree(tokens) {
-		return b.reservation(account, limit, tokens, false), nil
+	reservation := &Reservation{Tokens: tokens, book: b, account: account, budget: budget}
+	if account.take(tokens) {
+		account.mutex.Lock()
+		reservation.Home = account.home
+		account.mutex.Unlock()
+		return reservation, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, tableWait)
+	patience := longestWait
+	retry := longestRetry
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline)
+		patience = min(patience, time.Duration(waitShare*float64(left)))
+		retry = min(retry, time.Duration(retryShare*float64(left)))
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	if err := b.draw(ctx, account, budget, tokens); err != nil {
+		var spent *fault.Error
+		if errors.As(err, &spent) {
+			return nil, err
+		}
+		return nil, fault.Newf(fault.Unavailable, "come back after the time given",
+			"the program's budget cannot be read now: %v", err).WithRetryAfter(retry)
+	}
+	defer func() { <-account.turn }()
+	reservation.Home, reservation.Drawn = account.homeOf(), true
+	return reservation, nil
+}
+
+// draw draws what this node lacks for a turn and takes the turn's tokens. If it
+// succeeds, the caller holds the account's turn.
+func (b *Book) draw(ctx context.Context, account *account, budget, tokens int) error {
 	select {
 	case account.turn <- struct{}{}:
 	case <-ctx.Done():
-		return nil, unavailable(ctx.Err())
+		return ctx.Err()
 	}
-	defer func() { <-account.turn }()
-	if account.takeFree(tokens) {
-		return b.reservation(account, limit, tokens, false), nil
-	}
-	if err := b.draw(ctx, account, limit, tokens); err != nil {
-		return nil, err
+	for {
+		taken, err := b.drawOnce(ctx, account, budget, tokens)
+		if taken {
+			return nil
+		}
+		if err != nil && ctx.Err() == nil && !fault.Is(err, fault.BudgetExhausted) {
+			continue
+		}
+		<-account.turn
+		if err == nil {
+			err = ctx.Err()
+		}
+		return err
 	}
-	return b.reservation(account, limit, tokens, true), nil
 }
 
-func (b *Book) reservation(account *account, limit, tokens int, drawn bool) *Reservation {
-	account.mutex.Lock()
-	defer account.mutex.Unlock()
-	return &Reservation{Tokens: tokens, Home: account.home, Drawn: drawn, book: b, account: account, limit: limit}
+// drawOnce asks each share once. It fails with fault.BudgetExhausted if all of
+// them were read and hold too little.
+func (b *Book) drawOnce(ctx context.Context, account *account, budget, tokens int) (taken bool, failure error) {
+	if account.take(tokens) {
+		return true, nil
+	}
+	if err := account.stillSpent(budget, tokens); err != nil {
+		return false, err
+	}
+	for index, share := range account.shares {
+		limited, cancel := context.WithTimeout(ctx, shareWait)
+		err := b.drawFrom(limited, account, share, limitOf(budget, index), budget, tokens)
+		cancel()
+		if err != nil {
+			failure = err
+		}
+		if account.take(tokens) {
+			return true, nil
+		}
+		if ctx.Err() != nil {
+			return false, ctx.Err()
+		}
+	}
+	if failure != nil {
+		return false, failure
+	}
+	account.noteSpent()
+	return false, spentError(account.left(budget), budget, tokens)
 }
 
-// draw takes from the account what this node lacks for a turn, and then the
-// turn's tokens. The caller holds account.turn.
-func (b *Book) draw(ctx context.Context, account *account, limit, tokens int) error {
-	certain := false // the row was read by this call
+// drawFrom draws from one share until the turn has its tokens or the share has
+// none. No error means that the share's row is known for certain.
+func (b *Book) drawFrom(ctx context.Context, account *account, share *share, limit, budget, tokens int) error {
+	certain := false
 	for {
-		if account.takeFree(tokens) {
+		lacking := account.lacks(tokens)
+		if lacking <= 0 {
 			return nil
 		}
-		account.mutex.Lock()
-		lacking := tokens - account.free
-		left := limit - account.known.Drawn
-		account.mutex.Unlock()
-		if lacking > left {
-			if certain {
-				return fault.Newf(fault.BudgetExhausted, "raise the program's budget or start a new program",
-					"%d tokens are left of a budget of %d, and the turn may need %d", left, limit, tokens)
-			}
-			if err := b.read(ctx, account); err != nil {
-				return unavailable(err)
+		left := share.left(limit)
+		if left == 0 && certain {
+			return nil
+		}
+		if left == 0 {
+			drawn, err := share.read(ctx, b.options.Store)
+			if err != nil {
+				return err
 			}
+			account.add(drawn)
 			certain = true
 			continue
 		}
-		conflict, err := b.commit(ctx, account, lacking+ahead(left-lacking, tokens))
+		wanted := min(left, lacking+ahead(account.left(budget)-lacking, tokens))
+		drawn, done, err := share.commit(ctx, b.options.Store, wanted, account.homeOf())
 		if err != nil {
-			return unavailable(err)
+			return err
+		}
+		account.add(drawn)
+		certain = !done
+		if done && share.left(limit) == 0 {
+			return nil
 		}
-		certain = conflict
 	}
 }
 
@@ -127,58 +197,28 @@
 	return max(0, min(aheadTurns*tokens, left/aheadShare))
 }
 
-func (b *Book) read(ctx context.Context, account *account) error {
-	page, err := b.options.Store.Range(ctx, account.key.Table, account.key.Part, account.key.Name, account.key.Name+"\x00", 1)
-	if err != nil {
-		return err
-	}
-	stored := store.Row{Key: account.key}
-	if len(page.Rows) > 0 {
-		stored = page.Rows[0]
-	}
-	return account.learn(b.options.Holder, stored)
+func spentError(left, budget, tokens int) error {
+	return fault.Newf(fault.BudgetExhausted, "raise the program's budget or start a new program",
+		"%d tokens are left of a budget of %d, and the turn may need %d", left, budget, tokens)
 }
 
-// commit changes what this node holds by tokens. conflict means that the row
-// had changed; it is known now, and nothing was drawn unless it says so.
-func (b *Book) commit(ctx context.Context, account *account, tokens int) (conflict bool, err error) {
-	transaction, change, next := b.prepare(account, tokens)
-	version, err := store.CommitHedged(ctx, b.options.Store, transaction)
-	var refused *store.Conflict
-	if errors.As(err, &refused) {
-		return true, account.learn(b.options.Holder, refused.Find(account.key))
-	}
-	if err != nil {
-		return false, err
-	}
-	account.mutex.Lock()
-	defer account.mutex.Unlock()
-	account.known, account.version, account.unsure = next, version, nil
-	account.applied(change)
-	return false, nil
+// noteSpent notes the table's word that the budget is spent.
+func (a *account) noteSpent() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.spent = time.Now()
 }
 
-// prepare builds a transaction. Its effect stays unsure until an answer is there.
-func (b *Book) prepare(account *account, tokens int) (store.Transaction, draw, row) {
-	account.mutex.Lock()
-	defer account.mutex.Unlock()
-	account.sequence++
-	change := draw{sequence: account.sequence, tokens: tokens}
-	next := row{Drawn: account.known.Drawn + tokens, Last: maps.Clone(account.known.Last), Home: account.home}
-	if next.Last == nil {
-		next.Last = map[string]uint64{}
+// stillSpent repeats the table's word of a moment ago. The caller holds the turn.
+func (a *account) stillSpent(budget, tokens int) error {
+	a.mutex.Lock()
+	recent := time.Since(a.spent) < spentFor
+	a.mutex.Unlock()
+	left := a.left(budget)
+	if !recent || left >= tokens {
+		return nil
 	}
-	next.Last[b.options.Holder] = change.sequence
-	account.unsure = append(account.unsure, change)
-	return store.Transaction{
-		Conditions: []store.Condition{{Key: account.key, Version: account.version}},
-		Put:        []store.Row{{Key: account.key, Value: next.encode()}},
-	}, change, next
-}
-
-func unavailable(err error) error {
-	return fault.Newf(fault.Unavailable, "come back after the time given",
-		"the program's budget cannot be read now: %v", err).WithRetryAfter(retryAfter)
+	return spentError(left, budget, tokens)
 }
 
 func (b *Book) account(program string) *account {
@@ -188,14 +228,15 @@
 	b.sweep(now)
 	known, ok := b.accounts[program]
 	if !ok {
-		known = newAccount(program)
+		known = newAccount(program, b.options.Holder)
 		b.accounts[program] = known
 	}
 	known.used = now
 	return known
 }
 
-// sweep forgets accounts at rest, once in a while.
+// sweep forgets accounts at rest, once in a while. What this node still holds
+// of them stays drawn.
 func (b *Book) sweep(now time.Time) {
 	if now.Sub(b.swept) < forgetAfter/4 {
 		return
@@ -211,55 +252,43 @@
 // Settle ends the reservation: what was not used is free for the program's next
 // turn. home is the worker that ran the turn, empty if none did.
 func (r *Reservation) Settle(used int, home string) {
-	r.once.Do(func() { r.settle(used, home) })
+	r.once.Do(func() {
+		r.account.settle(r.Tokens, used, home)
+		time.AfterFunc(giveBackAfter, func() { r.book.giveBack(r.account, r.budget, r.Tokens) })
+	})
 }
 
-func (r *Reservation) settle(used int, home string) {
-	r.account.mutex.Lock()
-	r.account.free += max(0, r.Tokens-used)
-	r.account.open--
+func (a *account) settle(reserved, used int, home string) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.free += max(0, reserved-used)
+	a.open--
 	if home != "" {
-		r.account.home = home
-	}
-	low := r.limit-r.account.known.Drawn < 2*r.Tokens
-	idle := r.account.open == 0 && r.account.free > 0
-	r.account.mutex.Unlock()
-	if low && idle {
-		time.AfterFunc(returnAfter, func() { r.book.giveBack(r.account) })
+		a.home = home
 	}
 }
 
-// giveBack returns to the account what this node has no use for, so that the
-// program's turns through other nodes find it.
-func (b *Book) giveBack(account *account) {
-	ctx, cancel := context.WithTimeout(context.Background(), tableWait)
-	defer cancel()
+// giveBack returns what this node has no use for when the budget runs low, so
+// that the program's turns through other nodes find it. If it fails, the tokens
+// stay drawn: too little is spent, never too much.
+func (b *Book) giveBack(account *account, budget, tokens int) {
 	select {
 	case account.turn <- struct{}{}:
-	case <-ctx.Done():
-		return
+	default:
+		return // somebody draws for a turn; its end comes back here
 	}
 	defer func() { <-account.turn }()
-	tokens := account.withdrawFree()
-	if tokens == 0 {
+	if account.left(budget) >= lowTurns*tokens {
 		return
 	}
-	// If this fails, the tokens stay drawn: too little is spent, never too much.
-	conflict, err := b.commit(ctx, account, -tokens)
-	if err == nil && conflict {
-		_, _ = b.commit(ctx, account, -tokens)
-	}
-}
-
-// withdrawFree takes all free tokens out of this node's hands, if no turn runs.
-// They are not used again here, whatever becomes of giving them back.
-func (a *account) withdrawFree() int {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	if a.open > 0 {
-		return 0
+	ctx, cancel := context.WithTimeout(context.Background(), longestWait)
+	defer cancel()
+	idle := account.withdraw()
+	for _, share := range account.shares {
+		returned := min(idle, share.held)
+		if returned > 0 {
+			idle -= returned
+			account.add(share.giveBack(ctx, b.options.Store, returned, account.homeOf()))
+		}
 	}
-	tokens := a.free
-	a.free = 0
-	return tokens
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -89,6 +89,7 @@
 	if options.Settings.MemoryBytes == 0 {
 		options.Settings.MemoryBytes = defaultMemory
 	}
+	table := store.NewGate(options.Store)
 	workers := backend.NewRegistry(backend.Options{
 		Zone:        options.Settings.Zone,
 		DialTimeout: options.DialTimeout,
@@ -101,8 +102,8 @@
 		forwarder: forward.New(forward.Options{
 			Workers:   workers,
 			Transport: options.Transport,
-			Budgets:   budget.NewBook(budget.Options{Store: options.Store, Holder: options.Process}),
-			History:   history.New(history.Options{Store: options.Store, CacheBytes: int(options.Settings.MemoryBytes / memoryForHistory)}),
+			Budgets:   budget.NewBook(budget.Options{Store: table, Holder: options.Process}),
+			History:   history.New(history.Options{Store: table, CacheBytes: int(options.Settings.MemoryBytes / memoryForHistory)}),
 			Metrics:   options.Metrics.Requests,
 			Logger:    options.Logger,
 		}),
--- a/internal/store/hedge.go
+++ b/internal/store/hedge.go
@@ -11,8 +11,11 @@
 // cost the caller its patience.
 var hedgePauses = []time.Duration{90 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond}
 
-// retryPause is how long a refused try waits.
-const retryPause = 40 * time.Millisecond
+// Pauses after a refused try.
+const (
+	firstRetryPause   = 30 * time.Millisecond
+	longestRetryPause = 200 * time.Millisecond
+)
 
 // CommitHedged commits a transaction whose effect its caller can recognise in
 // the rows of a Conflict. While no try has answered, it sends the same
@@ -21,15 +24,18 @@
 func CommitHedged(ctx context.Context, table Store, transaction Transaction) (Version, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan commitResult, len(hedgePauses)+1)
+	results := make(chan commitResult)
 	launch := func() {
 		go func() {
 			version, err := table.Commit(ctx, transaction)
-			results <- commitResult{version: version, err: err}
+			select {
+			case results <- commitResult{version: version, err: err}:
+			case <-ctx.Done():
+			}
 		}()
 	}
 	launch()
-	running, launched := 1, 1
+	running, retryPause := 1, firstRetryPause
 	timer := time.NewTimer(hedgePauses[0])
 	defer timer.Stop()
 	for {
@@ -39,22 +45,18 @@
 		case <-timer.C:
 			launch()
 			running++
-			launched++
-			if launched <= len(hedgePauses) {
-				timer.Reset(hedgePauses[launched-1])
+			if running <= len(hedgePauses) {
+				timer.Reset(hedgePauses[running-1])
 			}
 		case result := <-results:
 			running--
 			if result.says() {
 				return result.version, result.err
 			}
-			if running > 0 || ctx.Err() != nil {
-				continue
-			}
-			if launched > len(hedgePauses) {
-				return 0, result.err
+			if running == 0 {
+				timer.Reset(retryPause)
+				retryPause = min(2*retryPause, longestRetryPause)
 			}
-			timer.Reset(retryPause)
 		}
 	}
 }
