--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"context"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +16,8 @@
 	Zone        string // of this node
 	DialTimeout time.Duration
 	OnDial      func()
+	// Dial opens a connection to an address; nil dials by TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Now is the clock; nil is time.Now.
 	Now func() time.Time
 }
@@ -63,13 +67,7 @@
 	if known, ok := r.workers[record.ID]; ok {
 		return known.update(record)
 	}
-	worker := &Worker{record: record, Pool: httpconn.NewPool(httpconn.Options{
-		Address:     record.Address,
-		DialTimeout: r.options.DialTimeout,
-		MaxIdle:     idlePerWorker,
-		IdleTimeout: idleWithoutWord,
-		OnDial:      r.options.OnDial,
-	})}
+	worker := &Worker{record: record, Pool: r.pool(record.Address)}
 	r.workers[record.ID] = worker
 	list := append(slices.Clone(r.services[record.Service]), worker)
 	slices.SortFunc(list, func(a, b *Worker) int { return strings.Compare(a.record.ID, b.record.ID) })
@@ -77,6 +75,20 @@
 	return true
 }
 
+func (r *Registry) pool(address string) *httpconn.Pool {
+	options := httpconn.Options{
+		Address:     address,
+		DialTimeout: r.options.DialTimeout,
+		MaxIdle:     idlePerWorker,
+		IdleTimeout: idleWithoutWord,
+		OnDial:      r.options.OnDial,
+	}
+	if r.options.Dial != nil {
+		options.Dial = func(ctx context.Context) (net.Conn, error) { return r.options.Dial(ctx, address) }
+	}
+	return httpconn.NewPool(options)
+}
+
 func (w *Worker) update(record Record) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -28,14 +28,8 @@
 	forgetAfter = 3 * time.Minute
 	// shareWait is how long one share is waited for before the next is tried.
 	shareWait = 130 * time.Millisecond
-	// longestWait and waitShare, of the turn's time, bound how long a turn waits
-	// for the table before it is refused.
-	longestWait = 900 * time.Millisecond
-	waitShare   = 0.38
-	// retryShare of the time left is when a turn that the table kept waiting
-	// should come back; longer than a third no client waits.
-	retryShare   = 0.3
-	longestRetry = 900 * time.Millisecond
+	// giveBackWait bounds how long giving back may take.
+	giveBackWait = 900 * time.Millisecond
 )
 
 // Options of a Book.
@@ -70,7 +64,7 @@
 
 // Reserve reserves tokens for a turn of a program with the budget given. It
 // fails with fault.BudgetExhausted when the table says that they are not left,
-// and with fault.Unavailable when it does not say anything; nothing is
+// and with fault.Unavailable when it says nothing before ctx ends; nothing is
 // reserved then.
 func (b *Book) Reserve(ctx context.Context, program string, budget, tokens int) (*Reservation, error) {
 	account := b.account(program)
@@ -81,22 +75,13 @@
 		account.mutex.Unlock()
 		return reservation, nil
 	}
-	patience := longestWait
-	retry := longestRetry
-	if deadline, ok := ctx.Deadline(); ok {
-		left := time.Until(deadline)
-		patience = min(patience, time.Duration(waitShare*float64(left)))
-		retry = min(retry, time.Duration(retryShare*float64(left)))
-	}
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
 	if err := b.draw(ctx, account, budget, tokens); err != nil {
 		var spent *fault.Error
 		if errors.As(err, &spent) {
 			return nil, err
 		}
 		return nil, fault.Newf(fault.Unavailable, "come back after the time given",
-			"the program's budget cannot be read now: %v", err).WithRetryAfter(retry)
+			"the program's budget cannot be read now: %v", err)
 	}
 	defer func() { <-account.turn }()
 	reservation.Home, reservation.Drawn = account.homeOf(), true
@@ -281,7 +266,7 @@
 	if account.left(budget) >= lowTurns*tokens {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), longestWait)
+	ctx, cancel := context.WithTimeout(context.Background(), giveBackWait)
 	defer cancel()
 	idle := account.withdraw()
 	for _, share := range account.shares {
--- /dev/null
+++ b/internal/forward/fixture_test.go
@@ -0,0 +1,232 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/httpconn"
+	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
+)
+
+// errReset is a connection that breaks after the request was written.
+var errReset = errors.New("connection reset")
+
+// script is what a worker does with a call.
+type script func(ctx context.Context, call Call) (*Answer, error)
+
+// sent is a call as a worker got it.
+type sent struct {
+	worker string
+	resume string
+	body   string
+	left   time.Duration
+}
+
+// fixture is a forwarder before scripted workers and a table in memory.
+type fixture struct {
+	t         *testing.T
+	forwarder *Forwarder
+	workers   *backend.Registry
+	table     *storetest.Table
+
+	mutex   sync.Mutex
+	scripts map[string]script
+	calls   []sent
+	dead    map[string]bool // addresses that take no connections
+}
+
+func newFixture(t *testing.T, routes ...route.Route) *fixture {
+	f := &fixture{t: t, table: storetest.New(), scripts: map[string]script{}, dead: map[string]bool{}}
+	f.workers = backend.NewRegistry(backend.Options{Zone: "z", Dial: f.dial})
+	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	table := store.Store(f.table)
+	f.forwarder = New(Options{
+		Workers:   f.workers,
+		Transport: f,
+		Budgets:   budget.NewBook(budget.Options{Store: table, Holder: "n"}),
+		History:   history.New(history.Options{Store: table, CacheBytes: 1 << 20}),
+		Metrics:   NewMetrics(prometheus.NewRegistry()),
+		Logger:    logger,
+	})
+	if len(routes) > 0 {
+		services := []route.Service{{Name: "s", TokensPerEvent: 10}}
+		f.forwarder.SetConfiguration(route.New(1, routes, services, route.Limits{}))
+	}
+	return f
+}
+
+func (f *fixture) dial(context.Context, string) (net.Conn, error) {
+	return nil, errors.New("no connections in this test")
+}
+
+// worker adds a worker of service s.
+func (f *fixture) worker(id string, does script) {
+	f.scripts[id] = does
+	f.workers.Put(backend.Record{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4})
+}
+
+// Send implements Transport.
+func (f *fixture) Send(ctx context.Context, worker *backend.Worker, call Call) (*Answer, error) {
+	id := worker.Record().ID
+	f.mutex.Lock()
+	f.calls = append(f.calls, sent{worker: id, resume: call.Resume, body: string(call.Body), left: call.Left})
+	does := f.scripts[id]
+	f.mutex.Unlock()
+	return does(ctx, call)
+}
+
+func (f *fixture) sent() []sent {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]sent(nil), f.calls...)
+}
+
+// serve serves a request for /p/x and returns what the client got.
+func (f *fixture) serve(ctx context.Context, change func(*Request)) *client {
+	request := &Request{ID: "r1", Method: http.MethodPost, Target: "/p/x", Host: "h", Path: "/p/x", Header: http.Header{}, Body: []byte("in"), Deadline: 3 * time.Second}
+	if change != nil {
+		change(request)
+	}
+	got := &client{begun: time.Now()}
+	f.forwarder.Serve(ctx, request, got)
+	got.took = time.Since(got.begun)
+	return got
+}
+
+// client records what it is told.
+type client struct {
+	begun    time.Time
+	took     time.Duration
+	status   int
+	body     bytes.Buffer
+	ended    bool
+	aborted  bool
+	refusal  *fault.Error
+	finals   int
+	onEvent  func()
+	failNext bool
+}
+
+func (c *client) Answer(status int, _ http.Header, body []byte) error {
+	c.finals++
+	c.status, c.ended = status, true
+	c.body.Write(body)
+	return nil
+}
+
+func (c *client) Start(status int, _ http.Header, _ int64) error {
+	c.status = status
+	return nil
+}
+
+func (c *client) Event(raw []byte) error {
+	if c.onEvent != nil {
+		c.onEvent()
+	}
+	if c.failNext {
+		return errReset
+	}
+	c.body.Write(raw)
+	return nil
+}
+
+func (c *client) End() {
+	c.finals++
+	c.ended = true
+}
+
+func (c *client) Abort() {
+	c.finals++
+	c.aborted = true
+}
+
+func (c *client) Refuse(refusal *fault.Error) {
+	c.finals++
+	c.refusal = refusal
+}
+
+// answers is a worker that answers at once.
+func answers(status int, body string) script {
+	return func(context.Context, Call) (*Answer, error) {
+		return answer(status, false, strings.NewReader(body)), nil
+	}
+}
+
+func answer(status int, stream bool, body io.Reader) *Answer {
+	return &Answer{Status: status, Header: http.Header{}, Length: -1, Stream: stream, Body: body, Close: func(bool) {}, Spoil: func() {}}
+}
+
+// declines is a worker that says that it did not run the call.
+func declines(context.Context, Call) (*Answer, error) {
+	declined := answer(http.StatusServiceUnavailable, false, strings.NewReader(""))
+	declined.Declined = true
+	return declined, nil
+}
+
+// resets is a worker whose connection breaks after the call was written.
+func resets(context.Context, Call) (*Answer, error) { return nil, errReset }
+
+// refuses is a worker that takes no connections.
+func refuses(context.Context, Call) (*Answer, error) {
+	return nil, errors.Join(httpconn.ErrNotWritten, errReset)
+}
+
+// hangs is a worker that never answers.
+func hangs(ctx context.Context, _ Call) (*Answer, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// streams is a worker that sends events first..last after the one that the
+// client has, and then breaks after breakAt unless that is zero.
+func streams(last, breakAt int) script {
+	return func(_ context.Context, call Call) (*Answer, error) {
+		first := 1
+		if call.Resume != "" {
+			_, _ = fmt.Sscan(call.Resume, &first)
+			first++
+		}
+		var body strings.Builder
+		for id := first; id <= last; id++ {
+			if breakAt > 0 && id > breakAt {
+				body.WriteString("id: 99\nda")
+				break
+			}
+			body.WriteString(event(id))
+		}
+		return answer(http.StatusOK, true, strings.NewReader(body.String())), nil
+	}
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: t%d\n\n", id, id) }
+
+func events(last int) string {
+	var all strings.Builder
+	for id := 1; id <= last; id++ {
+		all.WriteString(event(id))
+	}
+	return all.String()
+}
+
+func newHistory(table store.Store) *history.Keeper {
+	return history.New(history.Options{Store: table, CacheBytes: 1 << 20})
+}
--- /dev/null
+++ b/internal/forward/turn_test.go
@@ -0,0 +1,172 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
+)
+
+func turnRoute(change func(*route.Route)) route.Route {
+	turn := plainRoute(route.Streaming, 1)
+	turn.Timeout = 3 * time.Second
+	turn.Retention = time.Minute
+	if change != nil {
+		change(&turn)
+	}
+	return turn
+}
+
+func resumable(r *route.Route) { r.Resumable = true }
+
+func retained(r *route.Route) { r.Retain = true }
+
+func TestStreamIsPassedOnByteForByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(nil))
+		f.worker("w", streams(5, 0))
+		got := f.serve(t.Context(), nil)
+		require.Equal(t, events(5), got.body.String())
+		require.True(t, got.ended)
+		require.Equal(t, 1, got.finals)
+	})
+}
+
+func TestBrokenStreamIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(resumable))
+		calls := 0
+		f.worker("w", func(ctx context.Context, call Call) (*Answer, error) {
+			calls++
+			if calls < 3 {
+				return streams(9, 2*calls)(ctx, call)
+			}
+			return streams(9, 0)(ctx, call)
+		})
+		got := f.serve(t.Context(), nil)
+		require.Equal(t, events(9), got.body.String(), "each event once, in order")
+		require.True(t, got.ended)
+		require.Equal(t, []string{"", "2", "4"}, []string{f.sent()[0].resume, f.sent()[1].resume, f.sent()[2].resume})
+	})
+}
+
+func TestBrokenStreamThatMayNotBeResumedLooksBroken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(retained))
+		f.worker("w", streams(9, 3))
+		got := f.serve(t.Context(), nil)
+		require.True(t, got.aborted)
+		require.False(t, got.ended)
+		require.Len(t, f.sent(), 1)
+	})
+}
+
+func TestTurnGoesOnFromAnEarlierOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(retained))
+		f.worker("w", streams(2, 0))
+		f.serve(t.Context(), func(r *Request) { r.ID, r.Body = "t1", []byte("one;") })
+		f.serve(t.Context(), func(r *Request) { r.ID, r.Body, r.Continue = "t2", []byte("two;"), "t1" })
+		// Another node, which knows nothing, goes on from both.
+		other := newFixture(t, turnRoute(retained))
+		other.table = f.table
+		other.forwarder.options.History = newHistory(f.table)
+		other.worker("w", streams(2, 0))
+		for _, branch := range []string{"t3", "t4"} {
+			got := other.serve(t.Context(), func(r *Request) { r.ID, r.Body, r.Continue = branch, []byte("next"), "t2" })
+			require.True(t, got.ended)
+		}
+		for _, call := range other.sent() {
+			require.Equal(t, "one;t1\nt2\ntwo;t1\nt2\nnext", call.body)
+		}
+	})
+}
+
+func TestUnknownTurnIsNotFoundOnlyByTheTablesWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(retained))
+		f.worker("w", streams(2, 0))
+		from := func(r *Request) { r.Continue = "nowhere" }
+		require.Equal(t, fault.NotFound, f.serve(t.Context(), from).refusal.Code)
+		for _, down := range []storetest.Fault{storetest.Silent, storetest.Refused, storetest.Broken} {
+			f.table.Fault = func(string, bool) storetest.Fault { return down }
+			got := f.serve(t.Context(), from)
+			require.Equal(t, fault.Unavailable, got.refusal.Code)
+			require.Equal(t, fault.RanNo, got.refusal.Ran)
+			require.Positive(t, got.refusal.RetryAfter)
+			require.Less(t, got.took, 1200*time.Millisecond, "refused with time left to come back")
+		}
+		require.Empty(t, f.sent())
+	})
+}
+
+func TestTurnIsNotWholeBeforeItIsDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(retained))
+		f.worker("w", streams(3, 0))
+		f.table.Fault = func(_ string, write bool) storetest.Fault {
+			if write {
+				return storetest.Silent
+			}
+			return storetest.None
+		}
+		got := f.serve(t.Context(), nil)
+		require.Equal(t, events(3), got.body.String(), "events do not wait for the table")
+		require.False(t, got.ended)
+		require.True(t, got.aborted)
+	})
+}
+
+func TestSpentBudgetRunsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(nil))
+		f.worker("w", streams(5, 0)) // 50 tokens
+		turn := func(r *Request) { r.Program, r.Budget, r.Output = "p", 120, 60 }
+		require.True(t, f.serve(t.Context(), turn).ended)
+		require.True(t, f.serve(t.Context(), turn).ended)
+		got := f.serve(t.Context(), turn)
+		require.Equal(t, fault.BudgetExhausted, got.refusal.Code)
+		require.Equal(t, fault.RanNo, got.refusal.Ran)
+		require.Zero(t, got.refusal.RetryAfter)
+		require.Len(t, f.sent(), 2)
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestTurnWithoutTheTableIsRefusedUnrun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(resumable))
+		f.worker("w", streams(5, 0))
+		f.table.Fault = func(string, bool) storetest.Fault { return storetest.Silent }
+		got := f.serve(t.Context(), func(r *Request) { r.Program, r.Budget, r.Output = "p", 1000, 60 })
+		require.Equal(t, fault.Unavailable, got.refusal.Code)
+		require.Equal(t, fault.RanNo, got.refusal.Ran)
+		require.Positive(t, got.refusal.RetryAfter)
+		require.Less(t, got.took, 3*time.Second/2)
+		require.Empty(t, f.sent())
+	})
+}
+
+func TestProgramStaysWhereItsContextIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(resumable))
+		for _, id := range []string{"w1", "w2", "w3", "w4"} {
+			f.worker(id, streams(2, 0))
+		}
+		for range 5 {
+			f.serve(t.Context(), func(r *Request) {
+				r.Program, r.Budget, r.Output, r.Prompt, r.Shared = "p", 100000, 60, 14000, 12000
+			})
+		}
+		for _, call := range f.sent() {
+			require.Equal(t, f.sent()[0].worker, call.worker)
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -38,6 +38,8 @@
 	MaxIdle     int           // idle connections kept
 	IdleTimeout time.Duration // where the peer announces nothing
 	OnDial      func()        // counts new connections; may be nil
+	// Dial opens a connection; nil dials Address by TCP.
+	Dial func(ctx context.Context) (net.Conn, error)
 }
 
 // Pool holds the idle connections to an address.
@@ -166,8 +168,7 @@
 	if p.options.OnDial != nil {
 		p.options.OnDial()
 	}
-	dialer := net.Dialer{Timeout: p.options.DialTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", p.options.Address)
+	raw, err := p.connect(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -179,6 +180,14 @@
 	}, nil
 }
 
+func (p *Pool) connect(ctx context.Context) (net.Conn, error) {
+	if p.options.Dial != nil {
+		return p.options.Dial(ctx)
+	}
+	dialer := net.Dialer{Timeout: p.options.DialTimeout, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", p.options.Address)
+}
+
 func (p *Pool) put(c *conn) {
 	c.expires = time.Now().Add(c.keepAlive - keepAliveMargin)
 	p.mutex.Lock()
