--- a/internal/budget/share.go
+++ b/internal/budget/share.go
@@ -29,12 +29,12 @@
 // read learns the row as the table has it. drawn is what an earlier transaction
 // turns out to have drawn.
 func (s *share) read(ctx context.Context, table store.Store) (drawn int, err error) {
-	page, err := table.Range(ctx, s.key.Table, s.key.Part, s.key.Name, s.key.Name+"\x00", 1)
+	page, err := table.Range(ctx, s.key.Table, s.key.Part, s.key.Name, "", 1)
 	if err != nil {
 		return 0, err
 	}
 	stored := store.Row{Key: s.key}
-	if len(page.Rows) > 0 {
+	if len(page.Rows) > 0 && page.Rows[0].Key == s.key {
 		stored = page.Rows[0]
 	}
 	return s.learn(stored)
--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,70 @@
+package eventstream
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func readAll(stream io.Reader) (raw string, ids, data []string, err error) {
+	reader := NewReader(stream)
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			return raw, ids, data, err
+		}
+		raw += string(event.Raw)
+		ids = append(ids, string(event.ID))
+		data = append(data, string(event.Data))
+	}
+}
+
+func TestWholeEvents(t *testing.T) {
+	stream := "id: 1\ndata: a b\n\nweight-versions: 3\nid:2\r\ndata: c\r\ndata: d\r\n\r\n: comment\n\n"
+	raw, ids, data, err := readAll(strings.NewReader(stream))
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, stream, raw)
+	require.Equal(t, []string{"1", "2", ""}, ids)
+	require.Equal(t, []string{"a b", "c\nd", ""}, data)
+}
+
+func TestAnEventCutOffIsNotPassedOn(t *testing.T) {
+	raw, _, _, err := readAll(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Equal(t, "id: 1\ndata: a\n\n", raw)
+}
+
+func TestABreakIsToldAsItIs(t *testing.T) {
+	broken := errors.New("reset")
+	_, _, _, err := readAll(io.MultiReader(strings.NewReader("id: 1\n\nid"), iotest.ErrReader(broken)))
+	require.ErrorIs(t, err, broken)
+}
+
+// TestCutsDoNotMatter: however a stream arrives, and wherever it breaks, whole
+// events come out byte for byte and nothing else.
+func TestCutsDoNotMatter(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		events := rapid.SliceOfN(rapid.StringMatching(`(id: [0-9]{1,3}\n)?(data: [a-z :]{0,9}\n){1,3}\n`), 0, 8).Draw(r, "events")
+		stream := strings.Join(events, "")
+		cut := rapid.IntRange(0, len(stream)).Draw(r, "cut")
+		raw, _, _, err := readAll(iotest.OneByteReader(strings.NewReader(stream[:cut])))
+		whole := ""
+		for _, event := range events {
+			if len(whole)+len(event) > cut {
+				break
+			}
+			whole += event
+		}
+		if raw != whole {
+			r.Fatalf("got %q, want %q", raw, whole)
+		}
+		if complete := len(whole) == cut; complete != errors.Is(err, io.EOF) {
+			r.Fatalf("cut at %d of %q: %v", cut, stream, err)
+		}
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -111,11 +111,14 @@
 		if first == 0 {
 			first = page.Version
 		}
+		if len(rows) > 0 && len(page.Rows) > 0 && page.Rows[0].Name == from {
+			page.Rows = page.Rows[1:] // a page begins where the one before ended
+		}
 		rows = append(rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
 			break
 		}
-		from = page.Rows[len(page.Rows)-1].Name + "\x00"
+		from = rows[len(rows)-1].Name
 	}
 	if first < f.version {
 		return errors.New("the table answered with an older state; reading it again")
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,154 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
+)
+
+// picture is what a follower's owner believes.
+type picture struct {
+	mutex sync.Mutex
+	rows  map[string]string
+}
+
+func (p *picture) replace(rows []store.Row) {
+	p.mutex.Lock()
+	p.rows = map[string]string{}
+	p.mutex.Unlock()
+	p.change(rows)
+}
+
+func (p *picture) change(rows []store.Row) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, row := range rows {
+		if row.Gone {
+			delete(p.rows, row.Name)
+			continue
+		}
+		p.rows[row.Name] = string(row.Value)
+	}
+}
+
+func (p *picture) get(name string) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.rows[name]
+}
+
+func follow(ctx context.Context, table store.Store) *picture {
+	p := &picture{rows: map[string]string{}}
+	follower := New(Options{
+		Store: table, Table: "t", Replace: p.replace, Change: p.change,
+		Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
+	})
+	go follower.Run(ctx)
+	return p
+}
+
+func put(t *testing.T, table *storetest.Table, name, value string) {
+	_, err := table.Commit(t.Context(), store.Transaction{Put: []store.Row{{Key: store.Key{Table: "t", Name: name}, Value: []byte(value)}}})
+	require.NoError(t, err)
+}
+
+func remove(t *testing.T, table *storetest.Table, name string) {
+	_, err := table.Commit(t.Context(), store.Transaction{Remove: []store.Key{{Table: "t", Name: name}}})
+	require.NoError(t, err)
+}
+
+func run(t *testing.T, test func(*testing.T, *storetest.Table, *picture)) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		put(t, table, "a", "1")
+		ctx, cancel := context.WithCancel(t.Context())
+		p := follow(ctx, table)
+		time.Sleep(time.Second)
+		require.Equal(t, "1", p.get("a"))
+		test(t, table, p)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestChangesArriveAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, table *storetest.Table, p *picture) {
+		for change := range 5 {
+			put(t, table, "a", fmt.Sprint(change))
+			synctest.Wait()
+			require.Equal(t, fmt.Sprint(change), p.get("a"))
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
+
+func TestForgottenHistoryIsReadAsAWhole(t *testing.T) {
+	run(t, func(t *testing.T, table *storetest.Table, p *picture) {
+		table.Fault = func(string, bool) storetest.Fault { return storetest.Broken }
+		time.Sleep(5 * time.Second)
+		table.Fault = nil
+		put(t, table, "b", "2")
+		remove(t, table, "a")
+		table.Forget()
+		time.Sleep(time.Second)
+		require.Equal(t, "2", p.get("b"))
+		require.Empty(t, p.get("a"), "what is not there any more is gone")
+	})
+}
+
+// A change is taken over within 2 s of its commit once the table has answered
+// for 3 s, whatever it did before; and the last known state stays meanwhile.
+func TestChangesArriveAfterAnyTrouble(t *testing.T) {
+	for trouble := storetest.Refused; trouble <= storetest.Applied; trouble++ {
+		for range 5 {
+			run(t, func(t *testing.T, table *storetest.Table, p *picture) {
+				var mutex sync.Mutex
+				down := true
+				table.Fault = func(string, bool) storetest.Fault {
+					mutex.Lock()
+					defer mutex.Unlock()
+					if down {
+						return trouble
+					}
+					return storetest.None
+				}
+				time.Sleep(time.Second + rand.N(9*time.Second))
+				require.Equal(t, "1", p.get("a"))
+				mutex.Lock()
+				down = false
+				mutex.Unlock()
+				time.Sleep(3 * time.Second)
+				put(t, table, "a", "2")
+				time.Sleep(2 * time.Second)
+				require.Equal(t, "2", p.get("a"))
+			})
+		}
+	}
+}
+
+func TestLongTableIsReadInPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		table.PageRows = 3
+		for index := range 10 {
+			put(t, table, fmt.Sprint(index), "v")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		p := follow(ctx, table)
+		time.Sleep(time.Second)
+		require.Len(t, p.rows, 10)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/gob"
 	"errors"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -165,7 +166,8 @@
 }
 
 func (k *Keeper) readPlace(ctx context.Context, id string, place int) (*Turn, error) {
-	page, err := k.options.Store.Range(ctx, Table, partOf(id, place), id, id+"0", 0)
+	name := url.PathEscape(id)
+	page, err := k.options.Store.Range(ctx, Table, partOf(id, place), name, name+rowsEnd, 0)
 	if err != nil || len(page.Rows) == 0 {
 		return nil, err
 	}
@@ -184,13 +186,18 @@
 	return "t" + strconv.FormatUint((hash+uint64(place)*(1+hash>>32%(parts-1)))%parts, 10)
 }
 
-// rowName is the name of a turn's row number index. All of them lie between the
-// turn's name and the same followed by "0".
+// A turn's rows are named by its escaped name, in which no slash is left; all
+// but the first add a slash and their number. They lie before name + rowsEnd.
+const (
+	rowSlash = "/"
+	rowsEnd  = "0" // the byte after the slash
+)
+
 func rowName(id string, index int) string {
 	if index == 0 {
-		return id
+		return url.PathEscape(id)
 	}
-	return id + "/" + strconv.Itoa(index)
+	return url.PathEscape(id) + rowSlash + strconv.Itoa(index)
 }
 
 // Keep writes a turn and returns once one of its places holds it. Writing a turn
--- /dev/null
+++ b/internal/history/history_test.go
@@ -0,0 +1,104 @@
+package history
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
+)
+
+func keeper(table *storetest.Table) *Keeper { return New(Options{Store: table, CacheBytes: 1 << 20}) }
+
+func turn(id string, ancestors ...string) *Turn {
+	return &Turn{ID: id, Ancestors: ancestors, Input: []byte("in " + id), Output: []byte("out\n"), Worker: "w", Expires: time.Now().Add(time.Minute)}
+}
+
+func TestColdChainIsReadWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		long := turn("a")
+		long.Input = bytes.Repeat([]byte("0123456789"), 20_000)
+		require.NoError(t, keeper(table).Keep(t.Context(), long))
+		require.NoError(t, keeper(table).Keep(t.Context(), turn("a/1x", "a")))
+		require.NoError(t, keeper(table).Keep(t.Context(), turn("c", "a", "a/1x")))
+		chain, err := keeper(table).Chain(t.Context(), "c")
+		require.NoError(t, err)
+		require.Len(t, chain, 3)
+		require.Equal(t, long.Input, chain[0].Input, "a turn in several rows")
+		require.Equal(t, "a/1x", chain[1].ID)
+		require.Equal(t, string(long.Input)+"out\nin a/1xout\nin cout\nnew", string(Join(chain, []byte("new"))))
+	})
+}
+
+func TestTurnIsKeptWhileOnePlaceIsDown(t *testing.T) {
+	for _, down := range []storetest.Fault{storetest.Refused, storetest.Silent, storetest.Broken, storetest.Late} {
+		synctest.Test(t, func(t *testing.T) {
+			table := storetest.New()
+			first := partOf("a", 0)
+			require.NotEqual(t, first, partOf("a", 1))
+			table.Fault = func(part string, _ bool) storetest.Fault {
+				if part == first {
+					return down
+				}
+				return storetest.None
+			}
+			begun := time.Now()
+			require.NoError(t, keeper(table).Keep(t.Context(), turn("a")))
+			_, err := keeper(table).Chain(t.Context(), "a")
+			require.NoError(t, err)
+			require.Less(t, time.Since(begun), 400*time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err = keeper(table).Chain(ctx, "b")
+			require.Error(t, err)
+			if partOf("b", 0) == first || partOf("b", 1) == first {
+				require.NotErrorIs(t, err, ErrNoTurn, "a place that says nothing is no word")
+			}
+			table.Fault = nil
+			_, err = keeper(table).Chain(t.Context(), "a")
+			require.NoError(t, err, "the place that missed it is not believed alone")
+		})
+	}
+}
+
+func TestNoTurnOnlyByAllPlaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		_, err := keeper(table).Chain(t.Context(), "a")
+		require.ErrorIs(t, err, ErrNoTurn)
+		for place := range places {
+			table.Fault = func(part string, _ bool) storetest.Fault {
+				if part == partOf("a", place) {
+					return storetest.Broken
+				}
+				return storetest.None
+			}
+			_, err = keeper(table).Chain(t.Context(), "a")
+			require.Error(t, err)
+			require.NotErrorIs(t, err, ErrNoTurn)
+		}
+	})
+}
+
+func TestCacheIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		small := New(Options{Store: table, CacheBytes: 1000})
+		for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+			require.NoError(t, small.Keep(t.Context(), turn(id)))
+		}
+		require.LessOrEqual(t, small.bytes, 1000)
+		_, before := table.Calls()
+		_, err := small.Chain(t.Context(), "i")
+		require.NoError(t, err)
+		_, after := table.Calls()
+		require.Equal(t, before, after, "the newest is cached")
+		_, err = small.Chain(t.Context(), "a")
+		require.NoError(t, err, "the oldest is read again")
+	})
+}
--- /dev/null
+++ b/internal/httpconn/conn_test.go
@@ -0,0 +1,203 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// peer answers the requests of one connection after another by scripts: what it
+// writes for each request, in turn. Then it closes or waits.
+func peer(t *testing.T, scripts ...[]string) (address string, accepted func() int) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	count := make(chan int, 1)
+	count <- 0
+	go func() {
+		for index := 0; ; index++ {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			count <- <-count + 1
+			script := scripts[min(index, len(scripts)-1)]
+			go answerAll(connection, script)
+		}
+	}()
+	return listener.Addr().String(), func() int {
+		n := <-count
+		count <- n
+		return n
+	}
+}
+
+func answerAll(connection net.Conn, script []string) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for _, text := range script {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if text == "" {
+			return
+		}
+		_, _ = io.WriteString(connection, text)
+	}
+	_, _ = reader.ReadByte()
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func get() *http.Request {
+	return &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/a%2fb?c"}, Host: "h", Header: http.Header{}}
+}
+
+func exchange(t *testing.T, pool *Pool) (*Answer, error) {
+	t.Helper()
+	answer, err := pool.Send(t.Context(), get())
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.ReadAll(answer.Body)
+	answer.Close(err == nil)
+	return answer, err
+}
+
+func pool(address string) *Pool {
+	return NewPool(Options{Address: address, DialTimeout: time.Second, MaxIdle: 4, IdleTimeout: time.Minute})
+}
+
+func TestSoundConnectionsAreUsedAgain(t *testing.T) {
+	address, accepted := peer(t, []string{ok, ok, ok})
+	p := pool(address)
+	for range 3 {
+		_, err := exchange(t, p)
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, accepted())
+}
+
+func TestOddConnectionsAreNotUsedAgain(t *testing.T) {
+	for name, first := range map[string]string{
+		"more than an answer":     ok + ok,
+		"the peer says close":     "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+		"no time is left by it":   "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok",
+		"it ended after the head": "",
+		"not an answer":           "GARBAGE\r\n\r\n",
+		"a body cut off":          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			script := []string{first, ok}
+			if first == "" || name == "a body cut off" {
+				script = []string{first, ""}[:1]
+			}
+			address, accepted := peer(t, append(script, ""), []string{ok})
+			p := pool(address)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			answer, err := p.Send(ctx, get())
+			if err == nil {
+				_, err = io.ReadAll(answer.Body)
+				answer.Close(err == nil)
+			}
+			_, err = exchange(t, p)
+			require.NoError(t, err)
+			require.Equal(t, 2, accepted())
+		})
+	}
+}
+
+func TestBytesThatComeLaterSpoilAnIdleConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	late, wrote := make(chan struct{}), make(chan struct{})
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(connection))
+		_, _ = io.WriteString(connection, ok)
+		<-late
+		_, _ = io.WriteString(connection, ok)
+		close(wrote)
+		second, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		answerAll(second, []string{"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n"})
+	}()
+	p := pool(listener.Addr().String())
+	_, err = exchange(t, p)
+	require.NoError(t, err)
+	close(late)
+	<-wrote
+	require.Eventually(t, func() bool { return !quiet(p.idle[0].Conn) }, 5*time.Second, time.Millisecond)
+	answer, err := exchange(t, p)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusCreated, answer.StatusCode)
+}
+
+func TestNextAnswerOnTheSameConnection(t *testing.T) {
+	address, accepted := peer(t, []string{"HTTP/1.1 200 OK\r\nX: other\r\nContent-Length: 5\r\n\r\nother" + ok}, []string{ok})
+	p := pool(address)
+	answer, err := p.Send(t.Context(), get())
+	require.NoError(t, err)
+	next, err := answer.Next(100)
+	require.NoError(t, err)
+	body, err := io.ReadAll(next.Body)
+	require.NoError(t, err)
+	require.Equal(t, "ok", string(body))
+	next.Close(true)
+	_, err = exchange(t, p)
+	require.NoError(t, err)
+	require.Equal(t, 2, accepted(), "the connection is not used again")
+}
+
+func TestWhatWasNotWrittenIsKnown(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	listener.Close()
+	_, err = pool(address).Send(t.Context(), get())
+	require.ErrorIs(t, err, ErrNotWritten)
+
+	address, _ = peer(t, []string{""})
+	_, err = pool(address).Send(t.Context(), get())
+	require.Error(t, err)
+	require.False(t, errors.Is(err, ErrNotWritten))
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	closed := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(connection)
+		_, _ = http.ReadRequest(reader)
+		cancel()
+		_, _ = reader.ReadByte()
+		close(closed)
+	}()
+	_, err = pool(listener.Addr().String()).Send(ctx, get())
+	require.Error(t, err)
+	<-closed
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,39 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	configuration := New(1, []Route{
+		{Name: "short", Host: "h.example", PathPrefix: "/a/"},
+		{Name: "long", Host: "h.example", PathPrefix: "/a/b/"},
+		{Name: "other", Host: "o.example", PathPrefix: "/"},
+	}, nil, Limits{})
+	for request, want := range map[[2]string]string{
+		{"h.example", "/a/x"}:        "short",
+		{"H.example:8080", "/a/b/x"}: "long",
+		{"h.example", "/a/bx"}:       "short",
+		{"h.example", "/a"}:          "",
+		{"h.example", "/"}:           "",
+		{"o.example", "/a/b/"}:       "other",
+		{"x.example", "/a/b/"}:       "",
+	} {
+		got := configuration.Match(request[0], request[1])
+		if want == "" {
+			require.Nil(t, got, request)
+			continue
+		}
+		require.NotNil(t, got, request)
+		require.Equal(t, want, got.Name, request)
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	require.True(t, (&Route{Kind: Safe}).Repeatable())
+	require.False(t, (&Route{Kind: Unsafe, Resumable: true}).Repeatable())
+	require.False(t, (&Route{Kind: Streaming}).Repeatable())
+	require.True(t, (&Route{Kind: Streaming, Resumable: true}).Repeatable())
+}
--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -35,6 +35,8 @@
 type Table struct {
 	// Fault chooses the fault of a call on a part; nil means None.
 	Fault func(part string, write bool) Fault
+	// PageRows is the most rows of an answer; 0 is 500.
+	PageRows int
 
 	mutex   sync.Mutex
 	rows    map[store.Key]store.Row
@@ -49,6 +51,9 @@
 
 var _ store.Store = (*Table)(nil)
 
+// maxPageRows is the table's own limit of an answer.
+const maxPageRows = 500
+
 // New returns an empty table.
 func New() *Table {
 	return &Table{rows: map[store.Key]store.Row{}, changed: make(chan struct{})}
@@ -148,11 +153,14 @@
 	defer t.mutex.Unlock()
 	t.reads++
 	page := store.Page{Version: t.version}
+	if most := cmp.Or(t.PageRows, maxPageRows); limit == 0 || limit > most {
+		limit = most
+	}
 	for _, key := range slices.SortedFunc(maps.Keys(t.rows), func(a, b store.Key) int { return cmp.Compare(a.Name, b.Name) }) {
 		if key.Table != table || key.Part != part || key.Name < from || to != "" && key.Name >= to {
 			continue
 		}
-		if limit > 0 && len(page.Rows) == limit {
+		if len(page.Rows) == limit {
 			page.More = true
 			break
 		}
