Report a call's end to the worker core before its caller learns it

Cause of the known red TestHoldsEnd/nobody_can_say_whether_it_lives: finish() ended the caller's stream before it told the Core. A caller quick enough reported its pause in between; the Core then took the later end for a sign that the program calls again, and never renewed the hold, which lapsed after 10 s. Traced by printing the engine's commands: in failing runs the first hold is followed by nothing. Ruled out: a refused hold (the engine accepted it), a restart, eviction. TestCallersSeeNoEndBeforeTheCore fails without the change every time.

--- a/internal/worker/execute.go
+++ b/internal/worker/execute.go
@@ -152,13 +152,19 @@
 	if fault.Is(err, fault.Fenced) {
 		o.lostEpoch()
 	}
+	o.reportEnd(action, outcome, err)
 	if err == nil {
 		open.end(&outcome, nil)
 		o.service.metrics.observe(outcome)
-	} else {
-		o.log.WithField("request", string(action.Request)).WithError(err).Warn("call failed")
-		open.end(nil, err)
+		return
 	}
+	o.log.WithField("request", string(action.Request)).WithError(err).Warn("call failed")
+	open.end(nil, err)
+}
+
+// reportEnd tells the Core that a job is over. Its caller learns that only
+// afterwards: a pause that it then reports must not be overtaken by the end.
+func (o *owner) reportEnd(action Action, outcome engine.Outcome, err error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if err != nil && fault.From(err).Ran == fault.RanNo {
--- a/internal/worker/holds_test.go
+++ b/internal/worker/holds_test.go
@@ -14,6 +14,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
+	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/standin"
 )
 
@@ -94,6 +95,27 @@
 	}
 }
 
+// TestCallersSeeNoEndBeforeTheCore: a caller that has its outcome may say at once
+// that its program pauses, and the Core must know by then that the call is over.
+func TestCallersSeeNoEndBeforeTheCore(t *testing.T) {
+	service := New(Options{Mux: peer.NewMux(), Dial: func(platform.Machine) engine.Client { return newFakeEngine() }})
+	owned := newOwner(service, "w0", platform.Machine{ID: "w0"})
+	open := newStream("r1")
+	owned.mutex.Lock()
+	finished := make(chan struct{})
+	go func() {
+		owned.finish(Action{Request: "r1"}, open, engine.Outcome{}, nil)
+		close(finished)
+	}()
+	time.Sleep(20 * time.Millisecond)
+	_, done, _ := open.from(0)
+	require.False(t, done)
+	owned.mutex.Unlock()
+	<-finished
+	_, done, _ = open.from(0)
+	require.True(t, done)
+}
+
 func TestBrokenStreamsAreJoinedAgain(t *testing.T) {
 	for name, test := range map[string]struct {
 		faults standin.EngineFaults
