--- a/cmd/cloverwheeld/main.go
+++ b/cmd/cloverwheeld/main.go
@@ -7,9 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/apex/log"
@@ -36,7 +38,7 @@
 			{
 				Name:   "serve",
 				Usage:  "run one node; SIGTERM stops it without cutting a request, SIGHUP reads the settings again",
-				Flags:  []cli.Flag{settingsFlag()},
+				Flags:  []cli.Flag{settingsFlag(), metricsFlag()},
 				Action: serve,
 			},
 			{
@@ -70,6 +72,10 @@
 	}
 }
 
+func metricsFlag() cli.Flag {
+	return &cli.Uint16Flag{Name: "metrics-port", Usage: "`PORT` on which metrics are told under " + server.MetricsPath + "; 0: none"}
+}
+
 func check(_ context.Context, command *cli.Command) error {
 	_, err := platform.LoadSettings(command.String("settings"))
 	return err
@@ -81,6 +87,9 @@
 	if err != nil {
 		return err
 	}
+	if port := command.Uint16("metrics-port"); port > 0 {
+		settings.Server.Metrics = net.JoinHostPort(settings.Server.IP, strconv.Itoa(int(port)))
+	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	lines := eventlog.New(os.Stdout)
--- a/internal/budget/row.go
+++ b/internal/budget/row.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/gob"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -30,12 +31,27 @@
 	Home  string            // worker that ran the program's newest turn
 }
 
-func (r row) encode() []byte {
+// life is how long an account outlives its last transaction. A program that
+// comes back later finds its whole budget again.
+const life = time.Hour
+
+// Parts lists the parts that hold accounts.
+func Parts() []string {
+	names := make([]string, parts)
+	for part := range names {
+		names[part] = partName(uint64(part))
+	}
+	return names
+}
+
+func partName(part uint64) string { return "b" + strconv.FormatUint(part, 10) }
+
+func (r row) encode(now time.Time) []byte {
 	var buffer bytes.Buffer
 	if err := gob.NewEncoder(&buffer).Encode(r); err != nil {
 		panic(err) // a row has only plain fields
 	}
-	return buffer.Bytes()
+	return store.WithExpiry(now.Add(life), buffer.Bytes())
 }
 
 func decode(stored store.Row) (row, error) {
@@ -43,13 +59,17 @@
 	if stored.Version == 0 {
 		return decoded, nil
 	}
-	err := gob.NewDecoder(bytes.NewReader(stored.Value)).Decode(&decoded)
+	_, payload, err := store.CutExpiry(stored.Value)
+	if err != nil {
+		return decoded, err
+	}
+	err = gob.NewDecoder(bytes.NewReader(payload)).Decode(&decoded)
 	return decoded, err
 }
 
 func keyOf(program string, share int) store.Key {
 	part := (xxhash.Sum64String(program) + uint64(share)*shareStride) % parts
-	return store.Key{Table: Table, Part: "b" + strconv.FormatUint(part, 10), Name: program}
+	return store.Key{Table: Table, Part: partName(part), Name: program}
 }
 
 // limitOf is how much of a budget a share holds. All shares together hold it
--- a/internal/budget/share.go
+++ b/internal/budget/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/store"
 )
@@ -47,7 +48,7 @@
 	next, planned := s.plan(tokens, home)
 	version, err := store.CommitHedged(ctx, table, store.Transaction{
 		Conditions: []store.Condition{{Key: s.key, Version: s.version}},
-		Put:        []store.Row{{Key: s.key, Value: next.encode()}},
+		Put:        []store.Row{{Key: s.key, Value: next.encode(time.Now())}},
 	})
 	var refused *store.Conflict
 	if errors.As(err, &refused) {
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -137,16 +137,15 @@
 		return nil
 	}
 	turn := &history.Turn{
-		ID:      x.request.ID,
-		Input:   x.request.Body,
-		Output:  x.output,
-		Worker:  x.worker,
-		Expires: time.Now().Add(x.route.Retention),
+		ID:     x.request.ID,
+		Input:  x.request.Body,
+		Output: x.output,
+		Worker: x.worker,
 	}
 	for _, earlier := range chain {
 		turn.Ancestors = append(turn.Ancestors, earlier.ID)
 	}
-	if err := x.options.History.Keep(ctx, turn); err != nil {
+	if err := x.options.History.Keep(ctx, turn, chain, x.route.Retention); err != nil {
 		x.options.Metrics.Unkept.Inc()
 		return fault.Newf(fault.Unavailable, "send the turn again", "the turn could not be kept: %v", err).WithRan(fault.RanYes)
 	}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -42,7 +42,7 @@
 // ErrNoTurn means that the table has no such turn.
 var ErrNoTurn = errors.New("there is no such turn; start a new program")
 
-// Turn is a finished turn. It is never changed.
+// Turn is a finished turn. What it says is never changed.
 type Turn struct {
 	ID        string
 	Ancestors []string // from the oldest to the one before this
@@ -173,17 +173,33 @@
 	}
 	var whole []byte
 	for _, row := range page.Rows {
-		whole = append(whole, row.Value...)
+		_, payload, err := store.CutExpiry(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		whole = append(whole, payload...)
 	}
 	turn := new(Turn)
 	err = gob.NewDecoder(bytes.NewReader(whole)).Decode(turn)
 	return turn, err
 }
 
-// partOf is the part of a turn's place.
+// Parts lists the parts that hold turns.
+func Parts() []string {
+	names := make([]string, parts)
+	for part := range names {
+		names[part] = partName(uint64(part))
+	}
+	return names
+}
+
+func partName(part uint64) string { return "t" + strconv.FormatUint(part, 10) }
+
+// partOf is the part of a turn's place. A turn's places lie in different parts.
 func partOf(id string, place int) string {
 	hash := xxhash.Sum64String(id)
-	return "t" + strconv.FormatUint((hash+uint64(place)*(1+hash>>32%(parts-1)))%parts, 10)
+	step := 1 + (hash>>32)%(parts-1)
+	return partName((hash + uint64(place)*step) % parts)
 }
 
 // A turn's rows are named by its escaped name, in which no slash is left; all
@@ -200,9 +216,39 @@
 	return url.PathEscape(id) + rowSlash + strconv.Itoa(index)
 }
 
-// Keep writes a turn and returns once one of its places holds it. Writing a turn
-// again does no harm: a turn never changes.
-func (k *Keeper) Keep(ctx context.Context, turn *Turn) error {
+// Keep writes a turn and returns once one of its places holds it. The turns of
+// its chain are written again first if they would end well before it. Writing a
+// turn again does no harm: what was said never changes.
+func (k *Keeper) Keep(ctx context.Context, turn *Turn, chain []*Turn, retention time.Duration) error {
+	turn.Expires = time.Now().Add(retention)
+	group, limited := errgroup.WithContext(ctx)
+	group.SetLimit(parallelReads)
+	for _, earlier := range chain {
+		if turn.Expires.Sub(earlier.Expires) > retention/2 {
+			group.Go(func() error { return k.renew(limited, earlier, turn.Expires) })
+		}
+	}
+	group.Go(func() error { return k.write(limited, turn) })
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	k.remember(turn)
+	return nil
+}
+
+// renew keeps a turn until expires and beyond, so that the next turns of its
+// chain need not do it again.
+func (k *Keeper) renew(ctx context.Context, earlier *Turn, expires time.Time) error {
+	renewed := *earlier
+	renewed.Expires = expires
+	if err := k.write(ctx, &renewed); err != nil {
+		return err
+	}
+	k.replace(&renewed)
+	return nil
+}
+
+func (k *Keeper) write(ctx context.Context, turn *Turn) error {
 	var encoded bytes.Buffer
 	if err := gob.NewEncoder(&encoded).Encode(turn); err != nil {
 		return err
@@ -224,7 +270,6 @@
 	for range places {
 		err := <-results
 		if err == nil {
-			k.remember(turn)
 			return nil
 		}
 		failure = err
@@ -232,6 +277,15 @@
 	return failure
 }
 
+// replace puts a renewed turn in the place of the cached one.
+func (k *Keeper) replace(turn *Turn) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if element, ok := k.cached[turn.ID]; ok {
+		element.Value = turn
+	}
+}
+
 func pause(ctx context.Context, wait time.Duration) bool {
 	if wait == 0 {
 		return true
@@ -253,7 +307,7 @@
 		piece := encoded[:min(rowBytes, len(encoded))]
 		encoded = encoded[len(piece):]
 		key := store.Key{Table: Table, Part: part, Name: rowName(t.ID, index)}
-		transaction.Put = append(transaction.Put, store.Row{Key: key, Value: piece})
+		transaction.Put = append(transaction.Put, store.Row{Key: key, Value: store.WithExpiry(t.Expires, piece)})
 	}
 	return transaction
 }
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -10,12 +10,13 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
+	"github.com/cloverwheel/cloverwheel/internal/sweep"
 )
 
 func keeper(table *storetest.Table) *Keeper { return New(Options{Store: table, CacheBytes: 1 << 20}) }
 
 func turn(id string, ancestors ...string) *Turn {
-	return &Turn{ID: id, Ancestors: ancestors, Input: []byte("in " + id), Output: []byte("out\n"), Worker: "w", Expires: time.Now().Add(time.Minute)}
+	return &Turn{ID: id, Ancestors: ancestors, Input: []byte("in " + id), Output: []byte("out\n"), Worker: "w"}
 }
 
 func TestColdChainIsReadWhole(t *testing.T) {
@@ -23,9 +24,9 @@
 		table := storetest.New()
 		long := turn("a")
 		long.Input = bytes.Repeat([]byte("0123456789"), 20_000)
-		require.NoError(t, keeper(table).Keep(t.Context(), long))
-		require.NoError(t, keeper(table).Keep(t.Context(), turn("a/1x", "a")))
-		require.NoError(t, keeper(table).Keep(t.Context(), turn("c", "a", "a/1x")))
+		require.NoError(t, keeper(table).Keep(t.Context(), long, nil, time.Minute))
+		require.NoError(t, keeper(table).Keep(t.Context(), turn("a/1x", "a"), nil, time.Minute))
+		require.NoError(t, keeper(table).Keep(t.Context(), turn("c", "a", "a/1x"), nil, time.Minute))
 		chain, err := keeper(table).Chain(t.Context(), "c")
 		require.NoError(t, err)
 		require.Len(t, chain, 3)
@@ -48,7 +49,7 @@
 				return storetest.None
 			}
 			begun := time.Now()
-			require.NoError(t, keeper(table).Keep(t.Context(), turn("a")))
+			require.NoError(t, keeper(table).Keep(t.Context(), turn("a"), nil, time.Minute))
 			_, err := keeper(table).Chain(t.Context(), "a")
 			require.NoError(t, err)
 			require.Less(t, time.Since(begun), 400*time.Millisecond)
@@ -90,7 +91,7 @@
 		table := storetest.New()
 		small := New(Options{Store: table, CacheBytes: 1000})
 		for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
-			require.NoError(t, small.Keep(t.Context(), turn(id)))
+			require.NoError(t, small.Keep(t.Context(), turn(id), nil, time.Minute))
 		}
 		require.LessOrEqual(t, small.bytes, 1000)
 		_, before := table.Calls()
@@ -102,3 +103,42 @@
 		require.NoError(t, err, "the oldest is read again")
 	})
 }
+
+// TestChainOutlivesItsRetention: a turn is kept together with its chain, however
+// old that is, and all of it may go afterwards.
+func TestChainOutlivesItsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		sweeper := sweep.New(sweep.Options{Store: table})
+		sweepAll := func() (removed int) {
+			for _, part := range Parts() {
+				count, err := sweeper.Part(t.Context(), Table, part)
+				require.NoError(t, err)
+				removed += count
+			}
+			return removed
+		}
+		previous := ""
+		for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			var chain []*Turn
+			next := turn(id)
+			if previous != "" {
+				var err error
+				chain, err = keeper(table).Chain(t.Context(), previous)
+				require.NoError(t, err)
+			}
+			for _, earlier := range chain {
+				next.Ancestors = append(next.Ancestors, earlier.ID)
+			}
+			require.NoError(t, keeper(table).Keep(t.Context(), next, chain, time.Minute))
+			previous = id
+			time.Sleep(50 * time.Second)
+			sweepAll()
+		}
+		chain, err := keeper(table).Chain(t.Context(), "h")
+		require.NoError(t, err)
+		require.Len(t, chain, 8)
+		time.Sleep(10 * time.Minute)
+		require.Equal(t, 8, sweepAll())
+	})
+}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -1,7 +1,10 @@
 package server
 
 import (
+	"net/http"
+
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 )
@@ -26,3 +29,13 @@
 	registry.MustRegister(m.Dials, m.Table)
 	return m
 }
+
+// MetricsPath is where metrics are told as text.
+const MetricsPath = "/metrics"
+
+// Handler tells the metrics.
+func (m *Metrics) Handler() http.Handler {
+	handler := http.NewServeMux()
+	handler.Handle(MetricsPath, promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
+	return handler
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -22,12 +22,14 @@
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/sweep"
 )
 
 // Settings are what the machine gives to a node.
 type Settings struct {
 	Node        string
 	Zone        string
+	IP          string
 	Front       string // IP:PORT for clients
 	Ready       string // IP:PORT for questions whether this node is ready
 	Metrics     string // IP:PORT for metrics; empty: none
@@ -67,6 +69,7 @@
 	workers   *backend.Registry
 	draining  atomic.Bool
 	listed    atomic.Bool // the list of workers is known
+	sweeper   *sweep.Sweeper
 	drain     chan struct{}
 	inFlight  atomic.Int64 // bytes of bodies
 }
@@ -99,6 +102,11 @@
 		options: options,
 		workers: workers,
 		drain:   make(chan struct{}),
+		sweeper: sweep.New(sweep.Options{
+			Store:  table,
+			Tables: []sweep.Table{{Name: budget.Table, Parts: budget.Parts()}, {Name: history.Table, Parts: history.Parts()}},
+			Logger: options.Logger,
+		}),
 		forwarder: forward.New(forward.Options{
 			Workers:   workers,
 			Transport: options.Transport,
@@ -151,6 +159,10 @@
 			return nil
 		})
 	}
+	group.Go(func() error {
+		s.sweeper.Run(ctx)
+		return nil
+	})
 	front := &http.Server{
 		Handler:           s.options.Front(s),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -165,11 +177,17 @@
 	if err := s.serve(group, ready, s.options.Settings.Ready); err != nil {
 		return err
 	}
+	metrics := &http.Server{Handler: s.options.Metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	if address := s.options.Settings.Metrics; address != "" {
+		if err := s.serve(group, metrics, address); err != nil {
+			return err
+		}
+	}
 	s.options.Logger.WithField("front", s.options.Settings.Front).Info("started")
 	group.Go(func() error {
 		defer cancel()
 		s.awaitStop(ctx, front)
-		return ready.Close()
+		return errors.Join(ready.Close(), metrics.Close())
 	})
 	return group.Wait()
 }
