--- a/internal/budget/book_test.go
+++ b/internal/budget/book_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,12 +61,12 @@
 		synctest.Test(t, func(t *testing.T) {
 			table := storetest.New()
 			first := keyOf("p", 0).Part
-			table.Fault = func(part string, _ bool) storetest.Fault {
+			table.SetFault(func(part string, _ bool) storetest.Fault {
 				if part == first {
 					return down
 				}
 				return storetest.None
-			}
+			})
 			begun := time.Now()
 			_, err := book(table, "a").Reserve(t.Context(), "p", 6000, 500)
 			require.NoError(t, err)
@@ -76,14 +78,14 @@
 func TestTableDownIsNoWordOnTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := storetest.New()
-		table.Fault = func(string, bool) storetest.Fault { return storetest.Silent }
+		table.SetFault(func(string, bool) storetest.Fault { return storetest.Silent })
 		one := book(table, "a")
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := one.Reserve(ctx, "p", 6000, 500)
 		require.True(t, fault.Is(err, fault.Unavailable), err)
 		require.Equal(t, fault.RanNo, fault.From(err).Ran)
-		table.Fault = nil
+		table.SetFault(nil)
 		_, err = one.Reserve(t.Context(), "p", 6000, 500)
 		require.NoError(t, err)
 	})
@@ -94,12 +96,12 @@
 		synctest.Test(t, func(t *testing.T) {
 			table := storetest.New()
 			answers := 0
-			table.Fault = func(_ string, write bool) storetest.Fault {
+			table.SetFault(func(_ string, write bool) storetest.Fault {
 				if answers++; write && answers == 1 {
 					return lost
 				}
 				return storetest.None
-			}
+			})
 			one := book(table, "a")
 			reservation, err := one.Reserve(t.Context(), "p", 600, 200)
 			require.NoError(t, err)
@@ -153,41 +155,47 @@
 
 func overspends(t *testing.T, seed uint64, faulty, budget int) error {
 	random := rand.New(rand.NewPCG(seed, 1))
+	var mutex sync.Mutex
+	draw := func(below int) int {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return random.IntN(below)
+	}
 	table := storetest.New()
-	calm := false
-	table.Fault = func(string, bool) storetest.Fault {
-		if calm || random.IntN(100) >= faulty {
+	var calm atomic.Bool
+	table.SetFault(func(string, bool) storetest.Fault {
+		if calm.Load() || draw(100) >= faulty {
 			return storetest.None
 		}
-		return storetest.Fault(random.IntN(int(storetest.Applied) + 1))
-	}
+		return storetest.Fault(draw(int(storetest.Applied) + 1))
+	})
 	books := make([]*Book, 3)
-	restart := func(index int) { books[index] = book(table, fmt.Sprintf("%d-%d", index, random.Uint64())) }
+	restart := func(index int) { books[index] = book(table, fmt.Sprintf("%d-%d", index, draw(1<<30))) }
 	for index := range books {
 		restart(index)
 	}
 	generated := 0
 	for range 60 {
-		index := random.IntN(len(books))
-		switch random.IntN(12) {
+		index := draw(len(books))
+		switch draw(12) {
 		case 0:
 			restart(index)
 		case 1:
-			table.Release(random.IntN)
+			table.Release(draw)
 		default:
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-			most := 50 + random.IntN(300)
+			most := 50 + draw(300)
 			reservation, err := books[index].Reserve(ctx, "p", budget, most)
 			cancel()
 			if err == nil {
-				used := random.IntN(most + 1)
+				used := draw(most + 1)
 				generated += used
 				reservation.Settle(used, "w")
 			}
 		}
-		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+		time.Sleep(time.Duration(draw(400)) * time.Millisecond)
 	}
-	calm = true
+	calm.Store(true)
 	time.Sleep(time.Minute)
 	if generated > budget {
 		return fmt.Errorf("seed %d: %d tokens of a budget of %d were generated", seed, generated, budget)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -95,9 +95,9 @@
 
 func TestForgottenHistoryIsReadAsAWhole(t *testing.T) {
 	run(t, func(t *testing.T, table *storetest.Table, p *picture) {
-		table.Fault = func(string, bool) storetest.Fault { return storetest.Broken }
+		table.SetFault(func(string, bool) storetest.Fault { return storetest.Broken })
 		time.Sleep(5 * time.Second)
-		table.Fault = nil
+		table.SetFault(nil)
 		put(t, table, "b", "2")
 		remove(t, table, "a")
 		table.Forget()
@@ -115,14 +115,14 @@
 			run(t, func(t *testing.T, table *storetest.Table, p *picture) {
 				var mutex sync.Mutex
 				down := true
-				table.Fault = func(string, bool) storetest.Fault {
+				table.SetFault(func(string, bool) storetest.Fault {
 					mutex.Lock()
 					defer mutex.Unlock()
 					if down {
 						return trouble
 					}
 					return storetest.None
-				}
+				})
 				time.Sleep(time.Second + rand.N(9*time.Second))
 				require.Equal(t, "1", p.get("a"))
 				mutex.Lock()
@@ -147,8 +147,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		p := follow(ctx, table)
 		time.Sleep(time.Second)
-		require.Len(t, p.rows, 10)
 		cancel()
 		synctest.Wait()
+		require.Len(t, p.rows, 10)
 	})
 }
--- a/internal/forward/turn_test.go
+++ b/internal/forward/turn_test.go
@@ -95,7 +95,7 @@
 		from := func(r *Request) { r.Continue = "nowhere" }
 		require.Equal(t, fault.NotFound, f.serve(t.Context(), from).refusal.Code)
 		for _, down := range []storetest.Fault{storetest.Silent, storetest.Refused, storetest.Broken} {
-			f.table.Fault = func(string, bool) storetest.Fault { return down }
+			f.table.SetFault(func(string, bool) storetest.Fault { return down })
 			got := f.serve(t.Context(), from)
 			require.Equal(t, fault.Unavailable, got.refusal.Code)
 			require.Equal(t, fault.RanNo, got.refusal.Ran)
@@ -110,12 +110,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, turnRoute(retained))
 		f.worker("w", streams(3, 0))
-		f.table.Fault = func(_ string, write bool) storetest.Fault {
+		f.table.SetFault(func(_ string, write bool) storetest.Fault {
 			if write {
 				return storetest.Silent
 			}
 			return storetest.None
-		}
+		})
 		got := f.serve(t.Context(), nil)
 		require.Equal(t, events(3), got.body.String(), "events do not wait for the table")
 		require.False(t, got.ended)
@@ -143,7 +143,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, turnRoute(resumable))
 		f.worker("w", streams(5, 0))
-		f.table.Fault = func(string, bool) storetest.Fault { return storetest.Silent }
+		f.table.SetFault(func(string, bool) storetest.Fault { return storetest.Silent })
 		got := f.serve(t.Context(), func(r *Request) { r.Program, r.Budget, r.Output = "p", 1000, 60 })
 		require.Equal(t, fault.Unavailable, got.refusal.Code)
 		require.Equal(t, fault.RanNo, got.refusal.Ran)
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -42,12 +42,12 @@
 			table := storetest.New()
 			first := partOf("a", 0)
 			require.NotEqual(t, first, partOf("a", 1))
-			table.Fault = func(part string, _ bool) storetest.Fault {
+			table.SetFault(func(part string, _ bool) storetest.Fault {
 				if part == first {
 					return down
 				}
 				return storetest.None
-			}
+			})
 			begun := time.Now()
 			require.NoError(t, keeper(table).Keep(t.Context(), turn("a"), nil, time.Minute))
 			_, err := keeper(table).Chain(t.Context(), "a")
@@ -60,7 +60,7 @@
 			if partOf("b", 0) == first || partOf("b", 1) == first {
 				require.NotErrorIs(t, err, ErrNoTurn, "a place that says nothing is no word")
 			}
-			table.Fault = nil
+			table.SetFault(nil)
 			_, err = keeper(table).Chain(t.Context(), "a")
 			require.NoError(t, err, "the place that missed it is not believed alone")
 		})
@@ -73,12 +73,12 @@
 		_, err := keeper(table).Chain(t.Context(), "a")
 		require.ErrorIs(t, err, ErrNoTurn)
 		for place := range places {
-			table.Fault = func(part string, _ bool) storetest.Fault {
+			table.SetFault(func(part string, _ bool) storetest.Fault {
 				if part == partOf("a", place) {
 					return storetest.Broken
 				}
 				return storetest.None
-			}
+			})
 			_, err = keeper(table).Chain(t.Context(), "a")
 			require.Error(t, err)
 			require.NotErrorIs(t, err, ErrNoTurn)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -53,6 +53,9 @@
 	Store     store.Store
 	Transport forward.Transport
 	Records   Records
+	// Listen opens a listener and Dial a connection; nil is TCP.
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
 	// DialTimeout is how long a worker may take to accept a connection.
 	DialTimeout time.Duration
 	// Front and Ready make the handlers of the two addresses.
@@ -92,10 +95,14 @@
 	if options.Settings.MemoryBytes == 0 {
 		options.Settings.MemoryBytes = defaultMemory
 	}
+	if options.Listen == nil {
+		options.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	table := store.NewGate(options.Store)
 	workers := backend.NewRegistry(backend.Options{
 		Zone:        options.Settings.Zone,
 		DialTimeout: options.DialTimeout,
+		Dial:        options.Dial,
 		OnDial:      options.Metrics.Dials.Inc,
 	})
 	return &Server{
@@ -200,7 +207,7 @@
 )
 
 func (s *Server) serve(group *errgroup.Group, server *http.Server, address string) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := s.options.Listen(address)
 	if err != nil {
 		return err
 	}
--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -33,12 +33,11 @@
 
 // Table is a table in memory.
 type Table struct {
-	// Fault chooses the fault of a call on a part; nil means None.
-	Fault func(part string, write bool) Fault
 	// PageRows is the most rows of an answer; 0 is 500.
 	PageRows int
 
 	mutex   sync.Mutex
+	choose  func(part string, write bool) Fault
 	rows    map[store.Key]store.Row
 	version store.Version
 	history []store.Row
@@ -60,10 +59,21 @@
 }
 
 func (t *Table) fault(part string, write bool) Fault {
-	if t.Fault == nil {
+	t.mutex.Lock()
+	choose := t.choose
+	t.mutex.Unlock()
+	if choose == nil {
 		return None
 	}
-	return t.Fault(part, write)
+	return choose(part, write)
+}
+
+// SetFault sets what chooses the fault of a call on a part; nil means None. It
+// may be called from several calls at once.
+func (t *Table) SetFault(choose func(part string, write bool) Fault) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.choose = choose
 }
 
 // Commit implements store.Store.
