--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -21,7 +21,6 @@
 // Reader reads events one by one.
 type Reader struct {
 	scanner *bufio.Scanner
-	err     error
 }
 
 // NewReader returns a reader of the stream.
