--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -20,7 +20,8 @@
 	free  int // drawn by this node and not in use
 	open  int // reservations in use
 	home  string
-	used  time.Time
+	used  time.Time // when a turn last began; guarded by the book
+	idle  time.Time // since when no turn runs
 	spent time.Time // when the table last said that the budget is spent
 }
 
@@ -81,12 +82,12 @@
 	return a.home
 }
 
-// withdraw takes all free tokens out of this node's hands, if no turn runs.
-// They are not used again here, whatever becomes of giving them back.
-func (a *account) withdraw() int {
+// withdraw takes all free tokens out of this node's hands, if no turn has run
+// for a while. They are not used again here, whatever becomes of giving them back.
+func (a *account) withdraw(rest time.Duration) int {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.open > 0 {
+	if a.open > 0 || time.Since(a.idle) < rest {
 		return 0
 	}
 	tokens := a.free
--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -20,8 +20,9 @@
 	// lowTurns is how few turns must be left of a budget for idle tokens to be
 	// given back at once.
 	lowTurns = 6
-	// giveBackAfter is how long idle tokens of such a program stay at a node.
-	giveBackAfter = 120 * time.Millisecond
+	// giveBackAfter is how long a program must rest before its idle tokens are
+	// given back: longer than most programs think, or each turn would draw anew.
+	giveBackAfter = 700 * time.Millisecond
 	// spentFor is for how long a budget that was spent is taken to be so.
 	spentFor = time.Second
 	// forgetAfter is how long a program may rest before this node forgets it.
@@ -248,6 +249,7 @@
 	defer a.mutex.Unlock()
 	a.free += max(0, reserved-used)
 	a.open--
+	a.idle = time.Now()
 	if home != "" {
 		a.home = home
 	}
@@ -268,7 +270,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), giveBackWait)
 	defer cancel()
-	idle := account.withdraw()
+	idle := account.withdraw(giveBackAfter)
+	if idle == 0 {
+		return
+	}
 	for _, share := range account.shares {
 		returned := min(idle, share.held)
 		if returned > 0 {
