Pass on the head of a stream that has no events

A client that has all events and asks for what comes after them gets none, and the head was sent with the first event only. Test red before, green after.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -121,7 +121,7 @@
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			worker.Answered(time.Since(begun))
-			return nil
+			return x.start(answer)
 		}
 		if err != nil {
 			return err
@@ -138,13 +138,22 @@
 	}
 }
 
+// start passes the head of the first worker's answer on, once.
+func (x *exchange) start(answer *Answer) error {
+	if x.started {
+		return nil
+	}
+	x.started = true
+	x.options.Metrics.FirstEvent.Observe(time.Since(x.begun).Seconds())
+	if err := x.out.Start(answer.Status, answer.Header, unknownLength); err != nil {
+		return errClient
+	}
+	return nil
+}
+
 func (x *exchange) passEvent(answer *Answer, event eventstream.Event) error {
-	if !x.started {
-		x.started = true
-		x.options.Metrics.FirstEvent.Observe(time.Since(x.begun).Seconds())
-		if err := x.out.Start(answer.Status, answer.Header, unknownLength); err != nil {
-			return errClient
-		}
+	if err := x.start(answer); err != nil {
+		return err
 	}
 	x.events++
 	if x.route.Retain {
--- a/internal/forward/turn_test.go
+++ b/internal/forward/turn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,19 @@
 	})
 }
 
+// A client that has all events but not the end asks for what comes after the
+// last one: the worker's head, and nothing more.
+func TestStreamWithoutEventsKeepsItsHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(resumable))
+		f.worker("w", streams(3, 0))
+		got := f.serve(t.Context(), func(r *Request) { r.Resume = "3" })
+		require.Equal(t, http.StatusOK, got.status, "the head is passed on")
+		require.True(t, got.ended)
+		require.Empty(t, got.body.String())
+	})
+}
+
 func TestBrokenStreamIsResumed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, turnRoute(resumable))
