Let no more than ten calls a second of a node through to a table that is down

Found by TestGateSparesADeadTable (100 nodes, 20 turns each): 50 calls a second and node against a table that refuses at once, because each waiting turn let itself through in turn; now at most 10. All 2,000 turns go on within 1.5 s of its return. The gate's closing and opening are logged; the line of a request says what became of each send.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -87,6 +87,7 @@
 	ran       []string        // workers that may have run the request and are not known to be gone
 	touched   bool            // some worker may have run the request
 	sends     int
+	tried     []string // what became of each send, for the log
 	declines  int
 	worker    string // the last one asked
 	events    int
--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -82,6 +83,9 @@
 	if x.drawn {
 		fields["drawn"] = true
 	}
+	if len(x.tried) > 0 {
+		fields["tried"] = strings.Join(x.tried, ",")
+	}
 	x.options.Metrics.Requests.WithLabelValues(outcome).Inc()
 	x.options.Metrics.Duration.WithLabelValues(kind).Observe(took.Seconds())
 	entry := x.options.Logger.WithFields(fields)
@@ -93,9 +97,15 @@
 		WithField("retry_after_ms", refusal.RetryAfter.Milliseconds()).Warn("request")
 }
 
+// noteTried notes what became of a send that did not bring the answer.
+func (x *exchange) noteTried(worker *backend.Worker, outcome string) {
+	x.tried = append(x.tried, worker.Record().ID+":"+outcome)
+}
+
 // noteFailure logs a broken exchange with a worker.
 func (x *exchange) noteFailure(worker *backend.Worker, err, cause error) {
 	x.options.Metrics.Failures.Inc()
+	x.noteTried(worker, "failed")
 	record := worker.Record()
 	entry := x.options.Logger.WithFields(log.Fields{
 		"request": x.request.ID,
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
@@ -82,6 +83,7 @@
 	answer.Close(true)
 	if answer.Status >= http.StatusInternalServerError {
 		worker.Broke(time.Now())
+		x.noteTried(worker, strconv.Itoa(answer.Status))
 		if repeatable && x.mayRunElsewhere() {
 			x.exclude(worker.Record().ID)
 			return false, nil
@@ -125,6 +127,7 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, wholeBytes))
 	answer.Close(true)
 	worker.Declined(time.Now())
+	x.noteTried(worker, "declined")
 	x.declines++
 	x.exclude(worker.Record().ID)
 	x.options.Metrics.Declines.Inc()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
@@ -98,6 +99,7 @@
 	failure := answer.Status >= http.StatusInternalServerError
 	if failure {
 		worker.Broke(time.Now())
+		x.noteTried(worker, strconv.Itoa(answer.Status))
 	}
 	if failure && x.route.Repeatable() && x.sends < maxSends {
 		if x.mayRunElsewhere() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -98,7 +98,7 @@
 	if options.Listen == nil {
 		options.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
-	table := store.NewGate(options.Store)
+	table := store.NewGate(options.Store, options.Logger)
 	workers := backend.NewRegistry(backend.Options{
 		Zone:        options.Settings.Zone,
 		DialTimeout: options.DialTimeout,
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/apex/log"
 )
 
 const (
@@ -20,14 +22,17 @@
 // passes freely: its callers come one at a time and pause by themselves.
 type Gate struct {
 	Store
+	logger   log.Interface
 	mutex    sync.Mutex
+	closed   time.Time // when the gate closed
 	failures int
 	probing  bool
+	probed   time.Time // when the last call was let through the closed gate
 	opened   chan struct{} // closed when the gate opens; nil while it is open
 }
 
-// NewGate returns an open gate before table.
-func NewGate(table Store) *Gate { return &Gate{Store: table} }
+// NewGate returns an open gate before table, which logs when it closes and opens.
+func NewGate(table Store, logger log.Interface) *Gate { return &Gate{Store: table, logger: logger} }
 
 // Commit implements Store.
 func (g *Gate) Commit(ctx context.Context, transaction Transaction) (Version, error) {
@@ -77,10 +82,11 @@
 func (g *Gate) mayProbe() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.probing {
+	if g.probing || time.Since(g.probed) < probeEvery {
 		return false
 	}
 	g.probing = true
+	g.probed = time.Now()
 	return true
 }
 
@@ -96,6 +102,7 @@
 		if g.opened != nil {
 			close(g.opened)
 			g.opened = nil
+			g.logger.WithField("after_ms", time.Since(g.closed).Milliseconds()).Info("table answers again")
 		}
 		return
 	}
@@ -105,5 +112,7 @@
 	g.failures++
 	if g.failures >= gateFailures && g.opened == nil {
 		g.opened = make(chan struct{})
+		g.closed = time.Now()
+		g.logger.WithError(err).WithField("failures", g.failures).Warn("table does not answer, calling it seldom")
 	}
 }
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,116 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
+)
+
+var key = store.Key{Table: "t", Part: "p", Name: "k"}
+
+func write(value string, version store.Version) store.Transaction {
+	return store.Transaction{
+		Conditions: []store.Condition{{Key: key, Version: version}},
+		Put:        []store.Row{{Key: key, Value: []byte(value)}},
+	}
+}
+
+func TestHedgedCommitSurvivesLostAnswersAndRefusals(t *testing.T) {
+	for fault := storetest.Refused; fault <= storetest.Applied; fault++ {
+		synctest.Test(t, func(t *testing.T) {
+			table := storetest.New()
+			var calls atomic.Int32
+			table.SetFault(func(string, bool) storetest.Fault {
+				if calls.Add(1) == 1 {
+					return fault
+				}
+				return storetest.None
+			})
+			begun := time.Now()
+			_, err := store.CommitHedged(t.Context(), table, write("v", 0))
+			var conflict *store.Conflict
+			if errors.As(err, &conflict) {
+				require.Equal(t, "v", string(conflict.Find(key).Value), "the first try had its effect, and can be recognised")
+			} else {
+				require.NoError(t, err)
+			}
+			require.Less(t, time.Since(begun), 200*time.Millisecond)
+		})
+	}
+}
+
+func TestHedgedCommitEndsWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		table.SetFault(func(string, bool) storetest.Fault { return storetest.Silent })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := store.CommitHedged(ctx, table, write("v", 0))
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+	})
+}
+
+// TestGateSparesADeadTable: 100 nodes with 20 turns each do not press on a table
+// that is down, and go on at once when it is back.
+func TestGateSparesADeadTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, turns = 100, 20
+		table := storetest.New()
+		var calls atomic.Int32
+		var down atomic.Bool
+		down.Store(true)
+		table.SetFault(func(string, bool) storetest.Fault {
+			calls.Add(1)
+			if down.Load() {
+				return storetest.Refused
+			}
+			return storetest.None
+		})
+		var served atomic.Int32
+		for range nodes {
+			gate := store.NewGate(table, &log.Logger{Handler: discard.New()})
+			for range turns {
+				go func() {
+					for t.Context().Err() == nil {
+						ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+						_, err := gate.Range(ctx, "t", "p", "", "", 1)
+						cancel()
+						if err == nil {
+							served.Add(1)
+							return
+						}
+						time.Sleep(300 * time.Millisecond)
+					}
+				}()
+			}
+		}
+		time.Sleep(2 * time.Second)
+		before := calls.Load()
+		time.Sleep(10 * time.Second)
+		perNode := float64(calls.Load()-before) / 10 / nodes
+		require.LessOrEqual(t, perNode, 11.0, "calls a second from a node with 20 waiting turns")
+		down.Store(false)
+		time.Sleep(1500 * time.Millisecond)
+		require.EqualValues(t, nodes*turns, served.Load())
+	})
+}
+
+func TestExpiry(t *testing.T) {
+	expires := time.UnixMilli(1_780_000_000_123)
+	got, payload, err := store.CutExpiry(store.WithExpiry(expires, []byte("x")))
+	require.NoError(t, err)
+	require.True(t, expires.Equal(got))
+	require.Equal(t, "x", string(payload))
+	_, _, err = store.CutExpiry([]byte("short"))
+	require.ErrorIs(t, err, store.ErrNoExpiry)
+}
