Leave a part of the table that failed alone for a moment

Expected fewer calls while parts of the table are down: a turn's next share or place is asked at once, a part that failed is called again after 0.1 to 0.8 s. TestPartThatFailsIsLeftAlone found a pause that never doubled.

--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -8,6 +8,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
 const (
@@ -29,6 +30,8 @@
 	forgetAfter = 3 * time.Minute
 	// shareWait is how long one share is waited for before the next is tried.
 	shareWait = 130 * time.Millisecond
+	// roundPause is the pause after a round in which no share said enough.
+	roundPause = 50 * time.Millisecond
 	// giveBackWait bounds how long giving back may take.
 	giveBackWait = 900 * time.Millisecond
 )
@@ -102,7 +105,7 @@
 		if taken {
 			return nil
 		}
-		if err != nil && ctx.Err() == nil && !fault.Is(err, fault.BudgetExhausted) {
+		if err != nil && !fault.Is(err, fault.BudgetExhausted) && wait.For(ctx, roundPause) == nil {
 			continue
 		}
 		<-account.turn
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -111,58 +111,22 @@
 	return turn, nil
 }
 
-// found is what one place said of a turn; neither turn nor err: it is not there.
-type found struct {
-	turn *Turn
-	err  error
-}
-
 // read asks the places of a turn, the next one when the one before has no
 // answer or no turn. Only if all of them have no turn there is none.
 func (k *Keeper) read(ctx context.Context, id string) (*Turn, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answers := make(chan found, places)
-	asked, missing := 0, 0
-	ask := func() {
-		place := asked
-		asked++
-		go func() {
-			turn, err := k.readPlace(ctx, id, place)
-			answers <- found{turn: turn, err: err}
-		}()
-	}
-	ask()
-	timer := time.NewTimer(readWait)
-	defer timer.Stop()
-	var failure error
-	for answered := 0; answered < places; {
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-timer.C:
-			if asked < places {
-				ask()
-			}
-		case answer := <-answers:
-			answered++
-			switch {
-			case answer.turn != nil:
-				return answer.turn, nil
-			case answer.err != nil:
-				failure = answer.err
-			default:
-				missing++
-			}
-			if asked < places {
-				ask()
-			}
+	missing := 0
+	turn, err := firstPlace(ctx, readWait, func(ctx context.Context, place int) (*Turn, error) {
+		return k.readPlace(ctx, id, place)
+	}, func(turn *Turn) bool {
+		if turn == nil {
+			missing++
 		}
-	}
-	if missing == places {
+		return turn != nil
+	})
+	if turn == nil && missing == places {
 		return nil, ErrNoTurn
 	}
-	return nil, failure
+	return turn, err
 }
 
 func (k *Keeper) readPlace(ctx context.Context, id string, place int) (*Turn, error) {
@@ -253,28 +217,10 @@
 	if err := gob.NewEncoder(&encoded).Encode(turn); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan error, places)
-	for place := range places {
-		go func() {
-			if !pause(ctx, time.Duration(place)*placeWait) {
-				results <- ctx.Err()
-				return
-			}
-			_, err := store.CommitHedged(ctx, k.options.Store, turn.transaction(encoded.Bytes(), place))
-			results <- err
-		}()
-	}
-	var failure error
-	for range places {
-		err := <-results
-		if err == nil {
-			return nil
-		}
-		failure = err
-	}
-	return failure
+	_, err := firstPlace(ctx, placeWait, func(ctx context.Context, place int) (store.Version, error) {
+		return store.CommitHedged(ctx, k.options.Store, turn.transaction(encoded.Bytes(), place))
+	}, func(store.Version) bool { return true })
+	return err
 }
 
 // replace puts a renewed turn in the place of the cached one.
@@ -286,20 +232,6 @@
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait == 0 {
-		return true
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (t *Turn) transaction(encoded []byte, place int) store.Transaction {
 	part := partOf(t.ID, place)
 	var transaction store.Transaction
--- /dev/null
+++ b/internal/history/places.go
@@ -0,0 +1,75 @@
+package history
+
+import (
+	"context"
+	"time"
+)
+
+// said is what one place said.
+type said[T any] struct {
+	value T
+	err   error
+}
+
+// roundPause is the pause after a round in which all places failed.
+const roundPause = 60 * time.Millisecond
+
+// firstPlace asks the places of a turn one after the other, the next when the one
+// before has failed, was not accepted or has said nothing for a while. It returns
+// the first accepted answer. When all have answered and none was accepted, it
+// returns the zero value, and the last error if there was one; if all of them
+// failed, it asks again until ctx ends.
+func firstPlace[T any](ctx context.Context, patience time.Duration, ask func(context.Context, int) (T, error), accept func(T) bool) (T, error) {
+	var none T
+	for {
+		value, failed, err := oneRound(ctx, patience, ask, accept)
+		if err == nil || failed < places {
+			return value, err
+		}
+		timer := time.NewTimer(roundPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return none, err
+		case <-timer.C:
+		}
+	}
+}
+
+// oneRound asks each place once. failed counts those that failed.
+func oneRound[T any](ctx context.Context, patience time.Duration, ask func(context.Context, int) (T, error), accept func(T) bool) (value T, failed int, failure error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan said[T], places)
+	asked := 0
+	askNext := func() {
+		if asked == places {
+			return
+		}
+		place := asked
+		asked++
+		go func() {
+			value, err := ask(ctx, place)
+			answers <- said[T]{value: value, err: err}
+		}()
+	}
+	askNext()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for answered := 0; answered < places; {
+		select {
+		case <-timer.C:
+			askNext()
+		case answer := <-answers:
+			answered++
+			if answer.err != nil {
+				failed++
+				failure = answer.err
+			} else if accept(answer.value) {
+				return answer.value, 0, nil
+			}
+			askNext()
+		}
+	}
+	return value, failed, failure
+}
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -14,12 +15,20 @@
 	gateFailures = 4
 	// probeEvery is how often one call is let through a closed gate.
 	probeEvery = 100 * time.Millisecond
+	// A part that failed is closed for a time that doubles with each failure.
+	firstPartPause   = 100 * time.Millisecond
+	longestPartPause = 800 * time.Millisecond
 )
 
-// Gate keeps a node from pressing on a table that does not answer: after a few
-// failures in a row only one call at a time, and not too many, goes through; the
-// others wait until one of these is answered or their own time is over. Watch
-// passes freely: its callers come one at a time and pause by themselves.
+// ErrPartClosed is ErrNotDone at once, without a call: the part has just failed.
+var ErrPartClosed = fmt.Errorf("the part of the table has just failed: %w", ErrNotDone)
+
+// Gate keeps a node from pressing on a table that does not answer. A part that
+// failed is left alone for a moment, so that callers turn to another. After a few
+// failures in a row, whatever the parts, only one call at a time, and not too
+// many, goes through; the others wait until one of these is answered or their own
+// time is over. Watch passes freely: its callers come one at a time and pause by
+// themselves.
 type Gate struct {
 	Store
 	logger   log.Interface
@@ -27,45 +36,63 @@
 	closed   time.Time // when the gate closed
 	failures int
 	probing  bool
-	probed   time.Time // when the last call was let through the closed gate
+	probed   time.Time     // when the last call was let through the closed gate
 	opened   chan struct{} // closed when the gate opens; nil while it is open
+	parts    map[string]*partGate
+}
+
+// partGate is a part that failed.
+type partGate struct {
+	pause time.Duration
+	until time.Time
 }
 
 // NewGate returns an open gate before table, which logs when it closes and opens.
-func NewGate(table Store, logger log.Interface) *Gate { return &Gate{Store: table, logger: logger} }
+func NewGate(table Store, logger log.Interface) *Gate {
+	return &Gate{Store: table, logger: logger, parts: map[string]*partGate{}}
+}
 
 // Commit implements Store.
 func (g *Gate) Commit(ctx context.Context, transaction Transaction) (Version, error) {
-	if err := g.enter(ctx); err != nil {
+	part := transaction.part()
+	if err := g.enter(ctx, part); err != nil {
 		return 0, err
 	}
 	version, err := g.Store.Commit(ctx, transaction)
-	g.leave(ctx, err)
+	g.leave(ctx, part, err)
 	return version, err
 }
 
+// part is the part that all of a transaction's rows share.
+func (t Transaction) part() string {
+	switch {
+	case len(t.Put) > 0:
+		return t.Put[0].Part
+	case len(t.Remove) > 0:
+		return t.Remove[0].Part
+	}
+	return ""
+}
+
 // Range implements Store.
 func (g *Gate) Range(ctx context.Context, table, part, from, to string, limit int) (Page, error) {
-	if err := g.enter(ctx); err != nil {
+	if err := g.enter(ctx, part); err != nil {
 		return Page{}, err
 	}
 	page, err := g.Store.Range(ctx, table, part, from, to, limit)
-	g.leave(ctx, err)
+	g.leave(ctx, part, err)
 	return page, err
 }
 
 // enter waits until the call may be made. Its error is ErrNotDone.
-func (g *Gate) enter(ctx context.Context) error {
+func (g *Gate) enter(ctx context.Context, part string) error {
 	timer := time.NewTimer(probeEvery)
 	defer timer.Stop()
 	for {
-		g.mutex.Lock()
-		opened := g.opened
+		opened, err := g.state(part)
 		if opened == nil {
-			g.mutex.Unlock()
-			return nil
+			return err
 		}
-		g.mutex.Unlock()
 		select {
 		case <-ctx.Done():
 			return errors.Join(ErrNotDone, ctx.Err())
@@ -79,6 +106,20 @@
 	}
 }
 
+// state returns what to wait for if the whole gate is closed; else whether the
+// part is.
+func (g *Gate) state(part string) (opened chan struct{}, err error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.opened != nil {
+		return g.opened, nil
+	}
+	if failed, ok := g.parts[part]; ok && time.Now().Before(failed.until) {
+		return nil, ErrPartClosed
+	}
+	return nil, nil
+}
+
 func (g *Gate) mayProbe() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -92,23 +133,20 @@
 
 // leave notes what came of a call. A call that its caller broke off early says
 // nothing.
-func (g *Gate) leave(ctx context.Context, err error) {
+func (g *Gate) leave(ctx context.Context, part string, err error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.probing = false
 	var conflict *Conflict
 	if err == nil || errors.As(err, &conflict) {
-		g.failures = 0
-		if g.opened != nil {
-			close(g.opened)
-			g.opened = nil
-			g.logger.WithField("after_ms", time.Since(g.closed).Milliseconds()).Info("table answers again")
-		}
+		delete(g.parts, part)
+		g.open()
 		return
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
+	g.closePart(part)
 	g.failures++
 	if g.failures >= gateFailures && g.opened == nil {
 		g.opened = make(chan struct{})
@@ -116,3 +154,26 @@
 		g.logger.WithError(err).WithField("failures", g.failures).Warn("table does not answer, calling it seldom")
 	}
 }
+
+// open opens the whole gate. All parts may be tried again at once.
+func (g *Gate) open() {
+	g.failures = 0
+	if g.opened == nil {
+		return
+	}
+	clear(g.parts)
+	close(g.opened)
+	g.opened = nil
+	g.logger.WithField("after_ms", time.Since(g.closed).Milliseconds()).Info("table answers again")
+}
+
+func (g *Gate) closePart(part string) {
+	failed, ok := g.parts[part]
+	if !ok {
+		failed = &partGate{pause: firstPartPause}
+		g.parts[part] = failed
+	} else if !time.Now().Before(failed.until) {
+		failed.pause = min(2*failed.pause, longestPartPause)
+	}
+	failed.until = time.Now().Add(failed.pause)
+}
--- a/internal/store/hedge.go
+++ b/internal/store/hedge.go
@@ -20,7 +20,7 @@
 // CommitHedged commits a transaction whose effect its caller can recognise in
 // the rows of a Conflict. While no try has answered, it sends the same
 // transaction again on another connection, and takes the first answer that says
-// anything. It gives up when ctx ends; then the transaction may have had an effect.
+// anything; that a part is closed is such an answer. It gives up when ctx ends; then the transaction may have had an effect.
 func CommitHedged(ctx context.Context, table Store, transaction Transaction) (Version, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -69,5 +69,5 @@
 // says reports whether the result settles the matter.
 func (r commitResult) says() bool {
 	var conflict *Conflict
-	return r.err == nil || errors.As(r.err, &conflict)
+	return r.err == nil || errors.As(r.err, &conflict) || errors.Is(r.err, ErrPartClosed)
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -114,3 +114,33 @@
 	_, _, err = store.CutExpiry([]byte("short"))
 	require.ErrorIs(t, err, store.ErrNoExpiry)
 }
+
+func TestPartThatFailsIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		var calls atomic.Int32
+		var down atomic.Bool
+		down.Store(true)
+		table.SetFault(func(part string, _ bool) storetest.Fault {
+			if part == "bad" && down.Load() {
+				calls.Add(1)
+				return storetest.Refused
+			}
+			return storetest.None
+		})
+		gate := store.NewGate(table, &log.Logger{Handler: discard.New()})
+		ask := func(part string) error {
+			_, err := gate.Range(t.Context(), "t", part, "", "", 1)
+			return err
+		}
+		for range 100 {
+			require.ErrorIs(t, ask("bad"), store.ErrNotDone)
+			require.NoError(t, ask("good"))
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.LessOrEqual(t, calls.Load(), int32(12), "calls in 5 s")
+		down.Store(false)
+		time.Sleep(time.Second)
+		require.NoError(t, ask("bad"))
+	})
+}
