--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -39,6 +39,7 @@
 	workers  map[string]*Worker
 	services map[string][]*Worker // sorted by ID; replaced, never changed in place
 	vanished map[string][]vanished
+	lost     chan *Worker // workers that took no connection
 }
 
 type vanished struct {
@@ -56,6 +57,7 @@
 		workers:  map[string]*Worker{},
 		services: map[string][]*Worker{},
 		vanished: map[string][]vanished{},
+		lost:     make(chan *Worker, lostBacklog),
 	}
 }
 
@@ -67,7 +69,7 @@
 	if known, ok := r.workers[record.ID]; ok {
 		return known.update(record)
 	}
-	worker := &Worker{record: record, Pool: r.pool(record.Address)}
+	worker := &Worker{record: record, Pool: r.pool(record.Address), unreachable: r.noteLost}
 	r.workers[record.ID] = worker
 	list := append(slices.Clone(r.services[record.Service]), worker)
 	slices.SortFunc(list, func(a, b *Worker) int { return strings.Compare(a.record.ID, b.record.ID) })
--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -26,7 +26,7 @@
 	failureWeight   = 0.2 // of the newest answer in the share of failures
 	failureHalfLife = 1500 * time.Millisecond
 	paceWeight      = 0.2 // of the newest measurement in a pace
-	firstAvoid      = 400 * time.Millisecond
+	firstAvoid      = 800 * time.Millisecond
 	longestAvoid    = 3 * time.Second
 	declinedFor     = 60 * time.Millisecond
 	failuresToAvoid = 3 // broken answers in a row
@@ -36,6 +36,8 @@
 type Worker struct {
 	Pool *httpconn.Pool
 
+	unreachable func(*Worker) // told when no connection comes up
+
 	mutex      sync.Mutex
 	record     Record
 	gone       bool
@@ -115,9 +117,27 @@
 // Unreachable notes that no connection came up, or that one fell silent.
 func (w *Worker) Unreachable(now time.Time) {
 	w.mutex.Lock()
-	defer w.mutex.Unlock()
 	w.addFailure(now)
 	w.avoid(now)
+	w.mutex.Unlock()
+	w.unreachable(w)
+}
+
+// stayAway lets other workers come first for at least so long.
+func (w *Worker) stayAway(until time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if until.After(w.avoidUntil) {
+		w.avoidUntil = until
+	}
+}
+
+// reached notes that a connection came up again.
+func (w *Worker) reached() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.avoidFor = 0
+	w.avoidUntil = time.Time{}
 }
 
 func (w *Worker) addFailure(now time.Time) {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -19,7 +19,7 @@
 	wholeBytes = 256 << 10
 	// safeStall is how long a safe request waits for a silent worker before it
 	// looks whether that is still there.
-	safeStall = 150 * time.Millisecond
+	safeStall = 100 * time.Millisecond
 )
 
 // plain serves a request that is answered in one piece.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -16,7 +16,7 @@
 const (
 	// streamStall is how long a stream may be silent before it is looked whether
 	// its worker is still there.
-	streamStall = 400 * time.Millisecond
+	streamStall = 200 * time.Millisecond
 	// resendPause is the pause before a request goes to the same worker again,
 	// growing with each time.
 	resendPause = 15 * time.Millisecond
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -16,10 +16,10 @@
 
 const (
 	// checkTimeout bounds the connection that tells a slow worker from a dead one.
-	checkTimeout = 250 * time.Millisecond
+	checkTimeout = 150 * time.Millisecond
 	// maxChecks is how many checks a reachable worker passes before a request that
 	// may be repeated is taken away from it.
-	maxChecks = 3
+	maxChecks = 6
 )
 
 // watchdog ends an exchange with a worker that has fallen silent.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -166,10 +166,12 @@
 			return nil
 		})
 	}
-	group.Go(func() error {
-		s.sweeper.Run(ctx)
-		return nil
-	})
+	for _, run := range []func(context.Context){s.sweeper.Run, s.workers.Run} {
+		group.Go(func() error {
+			run(ctx)
+			return nil
+		})
+	}
 	front := &http.Server{
 		Handler:           s.options.Front(s),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -39,6 +39,30 @@
 	probed   time.Time     // when the last call was let through the closed gate
 	opened   chan struct{} // closed when the gate opens; nil while it is open
 	parts    map[string]*partGate
+	usual    time.Duration // that a commit takes
+}
+
+// Bounds of the patience with a commit, and how it is learnt: the usual time
+// follows the newest by usualWeight.
+const (
+	shortestPatience = 25 * time.Millisecond
+	longestPatience  = 150 * time.Millisecond
+	patienceTimes    = 3
+	usualWeight      = 0.1
+)
+
+// Patience implements Paced.
+func (g *Gate) Patience() time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return min(max(patienceTimes*g.usual, shortestPatience), longestPatience)
+}
+
+// learn follows the time that an answered commit took.
+func (g *Gate) learn(took time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.usual += time.Duration(usualWeight * float64(took-g.usual))
 }
 
 // partGate is a part that failed.
@@ -58,7 +82,11 @@
 	if err := g.enter(ctx, part); err != nil {
 		return 0, err
 	}
+	begun := time.Now()
 	version, err := g.Store.Commit(ctx, transaction)
+	if err == nil {
+		g.learn(time.Since(begun))
+	}
 	g.leave(ctx, part, err)
 	return version, err
 }
--- a/internal/store/hedge.go
+++ b/internal/store/hedge.go
@@ -6,10 +6,24 @@
 	"time"
 )
 
-// Pauses between the tries of a hedged commit. The table usually answers within
-// 10 ms; a second try on another connection costs one call, a lost answer would
-// cost the caller its patience.
-var hedgePauses = []time.Duration{90 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond}
+// Paced is a Store that knows how soon it usually answers.
+type Paced interface {
+	// Patience is how long an answer is worth waiting for before another try.
+	Patience() time.Duration
+}
+
+// defaultPatience is that of a Store that does not know.
+const defaultPatience = 60 * time.Millisecond
+
+// hedgeSteps are the pauses between the tries of a hedged commit, in patiences.
+var hedgeSteps = []time.Duration{1, 4, 8}
+
+func patienceOf(table Store) time.Duration {
+	if paced, ok := table.(Paced); ok {
+		return paced.Patience()
+	}
+	return defaultPatience
+}
 
 // Pauses after a refused try.
 const (
@@ -36,7 +50,8 @@
 	}
 	launch()
 	running, retryPause := 1, firstRetryPause
-	timer := time.NewTimer(hedgePauses[0])
+	patience := patienceOf(table)
+	timer := time.NewTimer(patience * hedgeSteps[0])
 	defer timer.Stop()
 	for {
 		select {
@@ -45,8 +60,8 @@
 		case <-timer.C:
 			launch()
 			running++
-			if running <= len(hedgePauses) {
-				timer.Reset(hedgePauses[running-1])
+			if running <= len(hedgeSteps) {
+				timer.Reset(patience * hedgeSteps[running-1])
 			}
 		case result := <-results:
 			running--
