--- a/cmd/cloverwheeld/main.go
+++ b/cmd/cloverwheeld/main.go
@@ -31,7 +31,15 @@
 )
 
 func main() {
-	root := &cli.Command{
+	root := rootCommand()
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func rootCommand() *cli.Command {
+	return &cli.Command{
 		Name:  "cloverwheeld",
 		Usage: "serve agent programs before model workers",
 		Commands: []*cli.Command{
@@ -50,10 +58,6 @@
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
-	if err := root.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitCode(err))
-	}
 }
 
 func exitCode(err error) int {
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -273,6 +273,9 @@
 
 // Join writes a chain's turns and the new input as a worker is to get them.
 func Join(chain []*Turn, input []byte) []byte {
+	if len(chain) == 0 {
+		return input
+	}
 	size := len(input)
 	for _, turn := range chain {
 		size += len(turn.Input) + len(turn.Output)
