--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -166,7 +166,7 @@
 			return nil
 		})
 	}
-	for _, run := range []func(context.Context){s.sweeper.Run, s.workers.Run} {
+	for _, run := range []func(context.Context){s.sweeper.Run, s.workers.Run, s.notePauses} {
 		group.Go(func() error {
 			run(ctx)
 			return nil
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// gateFailures in a row, with no answer between them, close the gate.
-	gateFailures = 4
+	// gateFailures of different parts in a row, with no answer between them, close
+	// the gate: so many rarely meet by chance while only some parts are down.
+	gateFailures = 8
 	// probeEvery is how often one call is let through a closed gate.
 	probeEvery = 100 * time.Millisecond
 	// A part that failed is closed for a time that doubles with each failure.
@@ -24,8 +25,8 @@
 var ErrPartClosed = fmt.Errorf("the part of the table has just failed: %w", ErrNotDone)
 
 // Gate keeps a node from pressing on a table that does not answer. A part that
-// failed is left alone for a moment, so that callers turn to another. After a few
-// failures in a row, whatever the parts, only one call at a time, and not too
+// failed is left alone for a moment, so that callers turn to another. After
+// failures of many parts in a row, only one call at a time, and not too
 // many, goes through; the others wait until one of these is answered or their own
 // time is over. Watch passes freely: its callers come one at a time and pause by
 // themselves.
@@ -174,8 +175,9 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	g.closePart(part)
-	g.failures++
+	if g.closePart(part) {
+		g.failures++
+	}
 	if g.failures >= gateFailures && g.opened == nil {
 		g.opened = make(chan struct{})
 		g.closed = time.Now()
@@ -195,13 +197,15 @@
 	g.logger.WithField("after_ms", time.Since(g.closed).Milliseconds()).Info("table answers again")
 }
 
-func (g *Gate) closePart(part string) {
-	failed, ok := g.parts[part]
-	if !ok {
+// closePart closes a part for a while. It reports whether the part was sound.
+func (g *Gate) closePart(part string) bool {
+	failed, known := g.parts[part]
+	if !known {
 		failed = &partGate{pause: firstPartPause}
 		g.parts[part] = failed
 	} else if !time.Now().Before(failed.until) {
 		failed.pause = min(2*failed.pause, longestPartPause)
 	}
 	failed.until = time.Now().Add(failed.pause)
+	return !known
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -79,11 +81,11 @@
 		var served atomic.Int32
 		for range nodes {
 			gate := store.NewGate(table, &log.Logger{Handler: discard.New()})
-			for range turns {
+			for turn := range turns {
 				go func() {
 					for t.Context().Err() == nil {
 						ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
-						_, err := gate.Range(ctx, "t", "p", "", "", 1)
+						_, err := gate.Range(ctx, "t", fmt.Sprint("p", turn), "", "", 1)
 						cancel()
 						if err == nil {
 							served.Add(1)
@@ -144,3 +146,27 @@
 		require.NoError(t, ask("bad"))
 	})
 }
+
+// TestGateStaysOpenWhileSomePartsAnswer: with two fifths of the parts down, calls
+// to the others never wait.
+func TestGateStaysOpenWhileSomePartsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		table.SetFault(func(part string, _ bool) storetest.Fault {
+			if part < "25" {
+				return storetest.Refused
+			}
+			return storetest.None
+		})
+		gate := store.NewGate(table, &log.Logger{Handler: discard.New()})
+		random := rand.New(rand.NewPCG(1, 1))
+		for range 5000 {
+			part := fmt.Sprintf("%02d", random.IntN(64))
+			begun := time.Now()
+			_, err := gate.Range(t.Context(), "t", part, "", "", 1)
+			require.Equal(t, part >= "25", err == nil)
+			require.Zero(t, time.Since(begun))
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
