--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -95,5 +95,5 @@
 }
 
 func (g *Gateway) noRoute(w http.ResponseWriter, r *http.Request) {
-	g.fail(w, r, fault.Newf(fault.NotFound, "see docs/OPERATING.md for the resources", "there is no resource %s", r.URL.Path))
+	g.fail(w, r, fault.Newf(fault.NotFound, "see docs/OPERATIONS.md for the resources", "there is no resource %s", r.URL.Path))
 }
