--- a/cmd/cloverwheeld/main_test.go
+++ b/cmd/cloverwheeld/main_test.go
@@ -17,9 +17,9 @@
 	path := filepath.Join(t.TempDir(), "boot.json")
 	require.NoError(t, os.WriteFile(path, []byte(`{"nodeName":"n"}`), 0o600))
 	for remedy, arguments := range map[string][]string{
-		"set CLOVERWHEEL_SETTINGS": {"cloverwheeld", "check"},
-		"name a readable file":     {"cloverwheeld", "serve", "--settings", path + ".none"},
-		"field zone is missing":    {"cloverwheeld", "serve", "--settings", path},
+		"set " + platform.EnvironmentSettings: {"cloverwheeld", "check"},
+		"name a readable file":                {"cloverwheeld", "serve", "--settings", path + ".none"},
+		"field zone is missing":               {"cloverwheeld", "serve", "--settings", path},
 	} {
 		err := rootCommand().Run(context.Background(), arguments)
 		require.ErrorContains(t, err, remedy)
