--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -24,6 +24,9 @@
 	// firstPause and longestPause bound the jittered pauses after failures.
 	firstPause   = 30 * time.Millisecond
 	longestPause = 400 * time.Millisecond
+	// pageTries is how often a refused page is asked for before the whole read
+	// begins anew.
+	pageTries = 10
 )
 
 // Options of a Follower.
@@ -96,21 +99,23 @@
 	return nil
 }
 
-// readWhole reads all pages. Changes after the first page are followed next, so
-// a row that changed between two pages ends up right.
+// readWhole reads all pages, and takes each over as it comes. Changes after the
+// first page are followed next, so a row that changed between two pages ends up
+// right.
 func (f *Follower) readWhole(ctx context.Context) error {
 	var rows []store.Row
 	var first store.Version
 	for from := ""; ; {
-		limited, cancel := context.WithTimeout(ctx, answerWait)
-		page, err := f.options.Store.Range(limited, f.options.Table, "", from, "", 0)
-		cancel()
+		page, err := f.readPage(ctx, from)
 		if err != nil {
 			return err
 		}
 		if first == 0 {
 			first = page.Version
 		}
+		if first < f.version {
+			return errors.New("the table answered with an older state; reading it again")
+		}
 		if len(rows) > 0 && len(page.Rows) > 0 && page.Rows[0].Name == from {
 			page.Rows = page.Rows[1:] // a page begins where the one before ended
 		}
@@ -118,16 +123,31 @@
 		if !page.More || len(page.Rows) == 0 {
 			break
 		}
+		f.options.Change(page.Rows)
 		from = rows[len(rows)-1].Name
 	}
-	if first < f.version {
-		return errors.New("the table answered with an older state; reading it again")
-	}
 	f.version, f.whole = first, true
 	f.options.Replace(rows)
 	return nil
 }
 
+// readPage reads one page. While the table refuses, as it does when all nodes
+// start at once, it comes back to the same page.
+func (f *Follower) readPage(ctx context.Context, from string) (store.Page, error) {
+	pauses := wait.NewBackoff(firstPause, longestPause)
+	for try := 1; ; try++ {
+		limited, cancel := context.WithTimeout(ctx, answerWait)
+		page, err := f.options.Store.Range(limited, f.options.Table, "", from, "", 0)
+		cancel()
+		if err == nil || try == pageTries || !errors.Is(err, store.ErrNotDone) {
+			return page, err
+		}
+		if wait.For(ctx, pauses.NextBackOff()) != nil {
+			return page, ctx.Err()
+		}
+	}
+}
+
 // note logs when the table stops and starts answering.
 func (f *Follower) note(ctx context.Context, err error) {
 	entry := f.options.Logger.WithField("table", f.options.Table).WithField("version", uint64(f.version))
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -152,3 +152,30 @@
 		require.Len(t, p.rows, 10)
 	})
 }
+
+// TestRefusedPagesAreAskedForAgain: a table that refuses most calls, as it does
+// when all nodes start at once, is read without beginning anew each time.
+func TestRefusedPagesAreAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		table.PageRows = 3
+		for index := range 60 {
+			put(t, table, fmt.Sprintf("%02d", index), "v")
+		}
+		random := rand.New(rand.NewPCG(1, 1))
+		table.SetFault(func(string, bool) storetest.Fault {
+			if random.IntN(100) < 60 {
+				return storetest.Refused
+			}
+			return storetest.None
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		p := follow(ctx, table)
+		time.Sleep(2 * time.Second)
+		require.NotEmpty(t, p.get("00"), "the first pages are taken over before the last is there")
+		time.Sleep(8 * time.Second)
+		cancel()
+		synctest.Wait()
+		require.Len(t, p.rows, 60)
+	})
+}
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -38,10 +38,15 @@
 		}
 	}
 	s.changeWorkers(rows)
-	s.listed.Store(true)
+	s.listed.Store(true) // also if there is none
 }
 
+// changeWorkers takes over changed entries. A part of a long list is enough to
+// begin with.
 func (s *Server) changeWorkers(rows []store.Row) {
+	if len(rows) > 0 {
+		defer s.listed.Store(true)
+	}
 	for _, row := range rows {
 		if row.Gone {
 			s.removeWorker(row.Name)
