--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -50,8 +50,12 @@
 	busyUntil  time.Time
 	step       time.Duration // between two tokens; 0: unknown
 	latency    time.Duration // of a plain answer; 0: unknown
+	served     [Priorities]time.Time // by priority: when the newest request that was answered had been sent
 }
 
+// Priorities is the number of priorities that a worker knows; 0 is the most urgent.
+const Priorities = 10
+
 // Record returns what the list says of the worker now.
 func (w *Worker) Record() Record {
 	w.mutex.Lock()
@@ -89,6 +93,28 @@
 	w.latency = average(w.latency, took)
 }
 
+// Serves notes that a request sent at that time begins to be answered.
+func (w *Worker) Serves(sent time.Time, priority int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if sent.After(w.served[priority]) {
+		w.served[priority] = sent
+	}
+}
+
+// Overtaken reports whether the worker answers requests that were sent after this
+// one and are no more urgent: it does not queue then, it has forgotten this one.
+func (w *Worker) Overtaken(sent time.Time, priority int) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, other := range w.served[priority:] {
+		if other.After(sent) {
+			return true
+		}
+	}
+	return false
+}
+
 // Paced notes how long a token of a stream took.
 func (w *Worker) Paced(step time.Duration) {
 	w.mutex.Lock()
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -48,14 +48,14 @@
 	workers   *backend.Registry
 	table     *storetest.Table
 
-	mutex   sync.Mutex
-	scripts map[string]script
-	calls   []sent
-	dead    map[string]bool // addresses that take no connections
+	mutex     sync.Mutex
+	scripts   map[string]script
+	calls     []sent
+	reachable bool // workers take connections
 }
 
 func newFixture(t *testing.T, routes ...route.Route) *fixture {
-	f := &fixture{t: t, table: storetest.New(), scripts: map[string]script{}, dead: map[string]bool{}}
+	f := &fixture{t: t, table: storetest.New(), scripts: map[string]script{}}
 	f.workers = backend.NewRegistry(backend.Options{Zone: "z", Dial: f.dial})
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	table := store.Store(f.table)
@@ -75,7 +75,11 @@
 }
 
 func (f *fixture) dial(context.Context, string) (net.Conn, error) {
-	return nil, errors.New("no connections in this test")
+	if !f.reachable {
+		return nil, errors.New("no connections in this test")
+	}
+	ours, _ := net.Pipe()
+	return ours, nil
 }
 
 // worker adds a worker of service s.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -56,7 +56,7 @@
 	defer worker.Begin()()
 	begun := time.Now()
 	repeatable := x.route.Repeatable()
-	limited, dog := watch(ctx, worker, safeStall, !repeatable)
+	limited, dog := watch(ctx, worker, safeStall, !repeatable, x.priority())
 	if !repeatable {
 		dog.timer.Stop()
 	}
@@ -69,6 +69,9 @@
 	if answer.Declined {
 		return x.declined(worker, answer), nil
 	}
+	if repeatable {
+		dog.heard()
+	}
 	x.markRan(worker.Record().ID)
 	if answer.Length > wholeBytes {
 		return true, x.pass(answer, nil)
--- a/internal/forward/turn_test.go
+++ b/internal/forward/turn_test.go
@@ -184,3 +184,42 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestForgottenRequestIsSentAgainSoon: a worker that answers later requests has
+// forgotten an earlier one.
+func TestForgottenRequestIsSentAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(resumable))
+		f.reachable = true
+		f.worker("w", func(ctx context.Context, call Call) (*Answer, error) {
+			if call.Request.ID == "lost" && len(f.sent()) == 1 {
+				return hangs(ctx, call)
+			}
+			return streams(3, 0)(ctx, call)
+		})
+		time.AfterFunc(100*time.Millisecond, func() { f.serve(t.Context(), nil) })
+		got := f.serve(t.Context(), func(r *Request) { r.ID = "lost" })
+		require.Equal(t, events(3), got.body.String())
+		require.Less(t, got.took, time.Second)
+	})
+}
+
+// TestQueuedRequestKeepsItsPlace: a worker that answers nothing later may have
+// this request in its queue; sending it again would put it at the end.
+func TestQueuedRequestKeepsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(resumable))
+		f.reachable = true
+		f.worker("w", func(ctx context.Context, call Call) (*Answer, error) {
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(1500 * time.Millisecond):
+				return streams(3, 0)(ctx, call)
+			}
+		})
+		got := f.serve(t.Context(), nil)
+		require.True(t, got.ended)
+		require.Len(t, f.sent(), 1)
+	})
+}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -17,9 +17,11 @@
 const (
 	// checkTimeout bounds the connection that tells a slow worker from a dead one.
 	checkTimeout = 150 * time.Millisecond
-	// maxChecks is how many checks a reachable worker passes before a request that
-	// may be repeated is taken away from it.
-	maxChecks = 6
+	// A request is taken away from a worker that takes connections after so many
+	// checks: soon if the worker answers later ones before it, late if it may be
+	// waiting its turn there.
+	checksIfOvertaken = 3
+	checksInQueue     = 9
 )
 
 // watchdog ends an exchange with a worker that has fallen silent.
@@ -28,16 +30,19 @@
 	after  time.Duration
 	// patient: a reachable worker is waited for as long as the request may take.
 	patient bool
-	cancel  context.CancelCauseFunc
-	timer   *time.Timer
-	checks  atomic.Int32
+	// sent and priority tell whether the worker serves others before this request.
+	sent     time.Time
+	priority int
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+	checks   atomic.Int32
 }
 
 // watch returns a context that ends with errUnreachable or errStalled when the
 // worker has not been heard of for a while.
-func watch(ctx context.Context, worker *backend.Worker, after time.Duration, patient bool) (context.Context, *watchdog) {
+func watch(ctx context.Context, worker *backend.Worker, after time.Duration, patient bool, priority int) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{worker: worker, after: after, patient: patient, cancel: cancel}
+	w := &watchdog{worker: worker, after: after, patient: patient, sent: time.Now(), priority: priority, cancel: cancel}
 	w.timer = time.AfterFunc(after, func() { w.check(ctx) })
 	return ctx, w
 }
@@ -46,6 +51,18 @@
 func (w *watchdog) heard() {
 	w.checks.Store(0)
 	w.timer.Reset(w.after)
+	w.worker.Serves(w.sent, w.priority)
+}
+
+// stalled reports whether a worker that takes connections is to be given up.
+func (w *watchdog) stalled(checks int) bool {
+	if w.patient {
+		return false
+	}
+	if w.worker.Overtaken(w.sent, w.priority) {
+		return checks >= checksIfOvertaken
+	}
+	return checks >= checksInQueue
 }
 
 // stop ends the watch and the context.
@@ -67,7 +84,7 @@
 		w.cancel(errUnreachable)
 	case !reachable:
 		w.timer.Reset(0)
-	case checks >= maxChecks && !w.patient:
+	case w.stalled(checks):
 		w.cancel(errStalled)
 	default:
 		w.timer.Reset(w.after)
