--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -48,8 +48,8 @@
 	avoidFor   time.Duration
 	avoidUntil time.Time
 	busyUntil  time.Time
-	step       time.Duration // between two tokens; 0: unknown
-	latency    time.Duration // of a plain answer; 0: unknown
+	step       time.Duration         // between two tokens; 0: unknown
+	latency    time.Duration         // of a plain answer; 0: unknown
 	served     [Priorities]time.Time // by priority: when the newest request that was answered had been sent
 }
 
