--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -129,6 +129,9 @@
 			return err
 		}
 		dog.heard()
+		if x.has(event) {
+			continue
+		}
 		if err := x.passEvent(answer, event); err != nil {
 			return err
 		}
@@ -140,6 +143,16 @@
 	}
 }
 
+// has reports whether the client has the event already: ids rise.
+func (x *exchange) has(event eventstream.Event) bool {
+	last, err := strconv.ParseUint(x.lastEvent, 10, 64)
+	if err != nil {
+		return false
+	}
+	id, err := strconv.ParseUint(string(event.ID), 10, 64)
+	return err == nil && id <= last
+}
+
 // start passes the head of the first worker's answer on, once.
 func (x *exchange) start(answer *Answer) error {
 	if x.started {
--- a/internal/forward/turn_test.go
+++ b/internal/forward/turn_test.go
@@ -223,3 +223,21 @@
 		require.Len(t, f.sent(), 1)
 	})
 }
+
+// TestRepeatedEventsAreNotPassedOnTwice: a worker that begins an answer anew gives
+// the client nothing that it has.
+func TestRepeatedEventsAreNotPassedOnTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(resumable))
+		calls := 0
+		f.worker("w", func(ctx context.Context, call Call) (*Answer, error) {
+			if calls++; calls == 1 {
+				return streams(9, 4)(ctx, call)
+			}
+			call.Resume = ""
+			return streams(9, 0)(ctx, call)
+		})
+		got := f.serve(t.Context(), nil)
+		require.Equal(t, events(9), got.body.String())
+	})
+}
