--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -194,6 +194,11 @@
 	return nil, errors.Join(httpconn.ErrNotWritten, errReset)
 }
 
+// crowded is a worker that takes no further connections.
+func crowded(context.Context, Call) (*Answer, error) {
+	return nil, errors.Join(httpconn.ErrNotWritten, httpconn.ErrCrowded)
+}
+
 // hangs is a worker that never answers.
 func hangs(ctx context.Context, _ Call) (*Answer, error) {
 	<-ctx.Done()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -59,6 +59,7 @@
 	}{
 		"a declined one goes elsewhere":              {route.Unsafe, 1, declines, answers(200, "ok"), expectation{status: 200, sends: 2}},
 		"one that was not written goes elsewhere":    {route.Unsafe, 1, refuses, answers(200, "ok"), expectation{status: 200, sends: 2}},
+		"one that found no place goes elsewhere":     {route.Unsafe, 1, crowded, answers(200, "ok"), expectation{status: 200, sends: 2}},
 		"unsafe is never sent twice":                 {route.Unsafe, 3, resets, answers(200, "ok"), expectation{code: fault.EngineFailed, ran: fault.RanUnknown, sends: 1}},
 		"an unsafe failure is passed on":             {route.Unsafe, 3, answers(500, "no"), answers(200, "ok"), expectation{status: 500, sends: 1}},
 		"safe is sent again":                         {route.Safe, 2, resets, answers(200, "ok"), expectation{status: 200, sends: 2}},
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -150,6 +150,12 @@
 	}
 	cause := context.Cause(limited)
 	x.noteFailure(worker, err, cause)
+	if errors.Is(err, httpconn.ErrCrowded) {
+		worker.Declined(time.Now())
+		x.declines++
+		x.exclude(id)
+		return false, nil
+	}
 	if !written {
 		worker.Unreachable(time.Now())
 		x.exclude(id)
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -15,12 +15,29 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 // ErrNotWritten is in the chain of errors of requests of which no byte was sent.
 var ErrNotWritten = errors.New("nothing was written; another worker may be tried")
 
+// ErrCrowded is in the chain of errors of connections that the peer reset at once:
+// it has as many as it takes. ErrNotWritten is there too.
+var ErrCrowded = errors.New("the worker takes no further connections")
+
+const (
+	// settleTime is how long a new connection is watched before it is used: a peer
+	// that has too many resets it at once, and a request written to it meanwhile
+	// might have run for all one knows.
+	settleTime = 5 * time.Millisecond
+	// shortestIdle is how short idle connections are kept to a peer that resets
+	// new ones, so that other nodes find room.
+	shortestIdle = 50 * time.Millisecond
+	// regrowth is the share by which that time grows with each sound connection.
+	regrowth = 20
+)
+
 // Buffer sizes of a connection, in bytes.
 const (
 	readBuffer  = 4 << 10
@@ -46,12 +63,16 @@
 type Pool struct {
 	options Options
 	mutex   sync.Mutex
-	idle    []*conn
+	idle    []*conn       // the longest unused first
+	limit   time.Duration // that a connection stays idle; shorter while the peer is crowded
+	pruning bool          // a look at the idle connections is due
 	closed  bool
 }
 
 // NewPool returns an empty pool.
-func NewPool(options Options) *Pool { return &Pool{options: options} }
+func NewPool(options Options) *Pool {
+	return &Pool{options: options, limit: options.IdleTimeout}
+}
 
 // conn is a connection that carries one request at a time.
 type conn struct {
@@ -169,9 +190,17 @@
 		p.options.OnDial()
 	}
 	raw, err := p.connect(ctx)
+	if errors.Is(err, syscall.ECONNRESET) {
+		p.noteFresh(false)
+		return nil, errors.Join(ErrCrowded, err)
+	}
 	if err != nil {
 		return nil, err
 	}
+	if !p.settles(raw) {
+		raw.Close()
+		return nil, ErrCrowded
+	}
 	return &conn{
 		Conn:      raw,
 		reader:    bufio.NewReaderSize(raw, readBuffer),
@@ -188,21 +217,77 @@
 	return dialer.DialContext(ctx, "tcp", p.options.Address)
 }
 
+// settles watches a new connection for a moment and reports whether it stays.
+func (p *Pool) settles(fresh net.Conn) bool {
+	if _, ok := fresh.(syscall.Conn); !ok {
+		return true // nothing can be learnt without reading
+	}
+	time.Sleep(settleTime)
+	stays := quiet(fresh)
+	p.noteFresh(stays)
+	return stays
+}
+
+// noteFresh notes whether the peer had a place for a new connection.
+func (p *Pool) noteFresh(stays bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if stays {
+		p.limit = min(p.limit+p.limit/regrowth, p.options.IdleTimeout)
+	} else {
+		p.limit = max(p.limit/2, min(shortestIdle, p.options.IdleTimeout))
+	}
+}
+
 func (p *Pool) put(c *conn) {
-	c.expires = time.Now().Add(c.keepAlive - keepAliveMargin)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	c.expires = time.Now().Add(min(c.keepAlive-keepAliveMargin, p.limit))
 	if p.closed || len(p.idle) >= p.options.MaxIdle {
 		c.Conn.Close()
 		return
 	}
 	p.idle = append(p.idle, c)
+	p.schedulePrune()
+}
+
+// schedulePrune looks at the idle connections again when the first is over. The
+// caller holds the mutex.
+func (p *Pool) schedulePrune() {
+	if p.pruning || len(p.idle) == 0 {
+		return
+	}
+	p.pruning = true
+	time.AfterFunc(max(time.Until(p.idle[0].expires), shortestIdle), p.prune)
+}
+
+// prune closes the connections that were idle for too long: the peer may need
+// their places.
+func (p *Pool) prune() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pruning = false
+	now := time.Now()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Before(c.expires) {
+			kept = append(kept, c)
+			continue
+		}
+		c.Conn.Close()
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.schedulePrune()
 }
 
 // Reachable opens a connection and keeps it. It tells a worker that is slow
-// from one that is gone.
+// from one that is gone; one that has no place for the connection is there.
 func (p *Pool) Reachable(ctx context.Context) bool {
 	c, err := p.dial(ctx)
+	if errors.Is(err, ErrCrowded) {
+		return true
+	}
 	if err != nil {
 		return false
 	}
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -201,3 +201,46 @@
 	require.Error(t, err)
 	<-closed
 }
+
+// TestCrowdedPeerIsKnownBeforeAnythingIsWritten: a peer that resets new connections
+// has run nothing, and its idle connections are let go sooner.
+func TestCrowdedPeerIsKnownBeforeAnythingIsWritten(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = connection.(*net.TCPConn).SetLinger(0)
+			connection.Close()
+		}
+	}()
+	p := pool(listener.Addr().String())
+	for range 20 {
+		_, err := p.Send(t.Context(), get())
+		require.ErrorIs(t, err, ErrCrowded)
+		require.ErrorIs(t, err, ErrNotWritten)
+	}
+	require.Equal(t, shortestIdle, p.limit)
+	require.True(t, p.Reachable(t.Context()), "a peer without a place is there")
+	listener.Close()
+	require.False(t, p.Reachable(t.Context()))
+}
+
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	address, accepted := peer(t, []string{ok, ok, ok})
+	p := NewPool(Options{Address: address, DialTimeout: time.Second, MaxIdle: 4, IdleTimeout: shortestIdle})
+	_, err := exchange(t, p)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		return len(p.idle) == 0
+	}, 5*time.Second, time.Millisecond)
+	_, err = exchange(t, p)
+	require.NoError(t, err)
+	require.Equal(t, 2, accepted())
+}
