Bound what many versions and restarts leave behind; leave sooner where the grace is short

Found by reading: counters of routes that are gone and workers that vanished from services that always have others were kept for ever; with a grace of 2 s a stop had ended its requests before clients were sent elsewhere. Draws of a route's targets now belong to its configuration.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -116,10 +116,17 @@
 	worker.Pool.Close()
 	if !wasDraining {
 		until := r.options.Now().Add(lingering)
-		r.vanished[service] = append(r.vanished[service], vanished{worker: worker, until: until})
+		r.vanished[service] = append(r.stillLingering(service), vanished{worker: worker, until: until})
 	}
 }
 
+// stillLingering drops the vanished workers of a service whose time is over and
+// returns the others.
+func (r *Registry) stillLingering(service string) []vanished {
+	now := r.options.Now()
+	return slices.DeleteFunc(r.vanished[service], func(v vanished) bool { return !now.Before(v.until) })
+}
+
 // IDs lists all workers.
 func (r *Registry) IDs() []string {
 	r.mutex.Lock()
@@ -139,16 +146,11 @@
 	if list := r.services[service]; len(list) > 0 {
 		return list
 	}
-	now := r.options.Now()
-	kept := r.vanished[service][:0]
+	r.vanished[service] = r.stillLingering(service)
 	var list []*Worker
 	for _, candidate := range r.vanished[service] {
-		if now.Before(candidate.until) {
-			kept = append(kept, candidate)
-			list = append(list, candidate.worker)
-		}
+		list = append(list, candidate.worker)
 	}
-	r.vanished[service] = kept
 	return list
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,7 +31,6 @@
 type Forwarder struct {
 	options       Options
 	configuration atomic.Pointer[route.Configuration]
-	draws         sync.Map // route name to *atomic.Uint64
 }
 
 // New returns a forwarder that knows no configuration yet.
@@ -145,23 +143,6 @@
 	return limit - afterLimit
 }
 
-// draw returns the next of a route's evenly spread draws from [0, 1).
-func (x *exchange) draw() float64 {
-	if len(x.route.Targets) < 2 {
-		return 0
-	}
-	const golden = 0.6180339887498949
-	value, ok := x.draws.Load(x.route.Name)
-	if !ok {
-		start := new(atomic.Uint64)
-		start.Store(rand.Uint64N(1 << 20))
-		value, _ = x.draws.LoadOrStore(x.route.Name, start)
-	}
-	count := value.(*atomic.Uint64).Add(1)
-	position := float64(count) * golden
-	return position - float64(uint64(position))
-}
-
 // choose picks a worker, waiting a moment for one to have room.
 func (x *exchange) choose(ctx context.Context) (*backend.Worker, *fault.Error) {
 	hold := min(x.route.Objective/holdShare, longestHold)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -24,7 +24,7 @@
 
 // plain serves a request that is answered in one piece.
 func (x *exchange) plain(ctx context.Context) *fault.Error {
-	x.service = x.route.Service(x.draw())
+	x.service = x.route.Service(x.route.Draw())
 	x.body = x.request.Body
 	for x.sends < maxSends {
 		worker, refusal := x.choose(ctx)
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -128,7 +128,7 @@
 			}
 		}
 	}
-	return x.route.Service(x.draw())
+	return x.route.Service(x.route.Draw())
 }
 
 // keep makes a turn durable. Until it is, its answer must not end as complete.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -3,7 +3,10 @@
 package route
 
 import (
+	"math"
+	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,6 +44,20 @@
 	Retain      bool          // turns are kept and continued from
 	Retention   time.Duration
 	Targets     []Target
+
+	drawn *atomic.Uint64 // how many draws were made; nil outside a Configuration
+}
+
+// golden spreads successive draws evenly, however many there are.
+const golden = 0.6180339887498949
+
+// Draw returns the next of the route's evenly spread draws from [0, 1).
+func (r *Route) Draw() float64 {
+	if r.drawn == nil || len(r.Targets) < 2 {
+		return 0
+	}
+	position := float64(r.drawn.Add(1)) * golden
+	return position - math.Floor(position)
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -102,6 +119,10 @@
 	routes   int
 }
 
+// maxFirstDraw bounds where a route's draws begin; far beyond, floating-point
+// numbers would no longer tell draws apart.
+const maxFirstDraw = 1 << 20
+
 // New indexes the routes of a version.
 func New(version Version, routes []Route, services []Service, limits Limits) *Configuration {
 	configuration := &Configuration{
@@ -117,6 +138,8 @@
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		route.MaxAttempts = max(route.MaxAttempts, 1)
+		route.drawn = new(atomic.Uint64)
+		route.drawn.Store(rand.Uint64N(maxFirstDraw)) // nodes do not draw in step
 		configuration.hosts[host] = append(configuration.hosts[host], route)
 	}
 	return configuration
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -37,3 +37,14 @@
 	require.False(t, (&Route{Kind: Streaming}).Repeatable())
 	require.True(t, (&Route{Kind: Streaming, Resumable: true}).Repeatable())
 }
+
+func TestSharesFollowWeights(t *testing.T) {
+	configuration := New(1, []Route{{Host: "h", PathPrefix: "/", Targets: []Target{{"s", 90}, {"t", 10}}}}, nil, Limits{})
+	split := configuration.Match("h", "/")
+	counts := map[string]int{}
+	for range 1000 {
+		counts[split.Service(split.Draw())]++
+	}
+	require.InDelta(t, 900, counts["s"], 10)
+	require.InDelta(t, 100, counts["t"], 10)
+}
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -8,8 +8,10 @@
 
 const (
 	// leaveTime is how long a stopping node goes on taking connections, so that
-	// nobody is sent to a closed door: two missed questions and some more.
-	leaveTime = 2500 * time.Millisecond
+	// nobody is sent to a closed door: two missed questions and some more. Of a
+	// short grace it takes no more than leaveShare.
+	leaveTime  = 2500 * time.Millisecond
+	leaveShare = 0.32
 	// exitMargin is what is left of the grace when the last requests are cut.
 	exitMargin = 400 * time.Millisecond
 )
@@ -23,7 +25,7 @@
 	case <-s.drain:
 	}
 	begun := time.Now()
-	timer := time.NewTimer(leaveTime)
+	timer := time.NewTimer(leaveFor(s.options.Settings.Grace))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -37,3 +39,8 @@
 		front.Close()
 	}
 }
+
+// leaveFor is how long a node with that grace goes on taking connections.
+func leaveFor(grace time.Duration) time.Duration {
+	return min(leaveTime, time.Duration(leaveShare*float64(grace)))
+}
