--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -148,16 +148,25 @@
 	return nil
 }
 
-// Range implements store.Store.
-func (t *Table) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
+// failRead lets a read fail as the fault of its part says.
+func (t *Table) failRead(ctx context.Context, part string) error {
 	switch t.fault(part, false) {
 	case Refused:
-		return store.Page{}, store.ErrNotDone
+		return store.ErrNotDone
 	case Broken, Applied:
-		return store.Page{}, ErrBroken
+		return ErrBroken
 	case Silent, Lost, Late:
 		<-ctx.Done()
-		return store.Page{}, ctx.Err()
+		return ctx.Err()
+	default:
+		return nil
+	}
+}
+
+// Range implements store.Store.
+func (t *Table) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
+	if err := t.failRead(ctx, part); err != nil {
+		return store.Page{}, err
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -181,14 +190,8 @@
 
 // Watch implements store.Store.
 func (t *Table) Watch(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Page, error) {
-	switch t.fault("", false) {
-	case Refused:
-		return store.Page{}, store.ErrNotDone
-	case Broken, Applied:
-		return store.Page{}, ErrBroken
-	case Silent, Lost, Late:
-		<-ctx.Done()
-		return store.Page{}, ctx.Err()
+	if err := t.failRead(ctx, ""); err != nil {
+		return store.Page{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
