--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -49,7 +49,6 @@
 	avoidUntil time.Time
 	busyUntil  time.Time
 	step       time.Duration         // between two tokens; 0: unknown
-	latency    time.Duration         // of a plain answer; 0: unknown
 	served     [Priorities]time.Time // by priority: when the newest request that was answered had been sent
 }
 
@@ -83,14 +82,13 @@
 }
 
 // Answered notes a whole answer.
-func (w *Worker) Answered(took time.Duration) {
+func (w *Worker) Answered() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.failures -= w.failures * failureWeight
 	w.inARow = 0
 	w.avoidFor = 0
 	w.avoidUntil = time.Time{}
-	w.latency = average(w.latency, took)
 }
 
 // Serves notes that a request sent at that time begins to be answered.
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -176,7 +176,7 @@
 }
 
 func answer(status int, stream bool, body io.Reader) *Answer {
-	return &Answer{Status: status, Header: http.Header{}, Length: -1, Stream: stream, Body: body, Close: func(bool) {}, Spoil: func() {}}
+	return &Answer{Status: status, Header: http.Header{}, Length: -1, Stream: stream, Body: body, Close: func(bool) {}}
 }
 
 // declines is a worker that says that it did not run the call.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
 // Options of a Forwarder.
@@ -168,12 +169,7 @@
 			return nil, x.noWorker(err)
 		}
 		x.excluded = nil
-		timer := time.NewTimer(holdPause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		_ = wait.For(ctx, holdPause)
 	}
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -54,7 +54,6 @@
 // refusal, or the one passed on if that is nil.
 func (x *exchange) tryPlain(ctx context.Context, worker *backend.Worker) (done bool, refusal *fault.Error) {
 	defer worker.Begin()()
-	begun := time.Now()
 	repeatable := x.route.Repeatable()
 	limited, dog := watch(ctx, worker, safeStall, !repeatable, x.priority())
 	if !repeatable {
@@ -92,7 +91,7 @@
 			return false, nil
 		}
 	} else {
-		worker.Answered(time.Since(begun))
+		worker.Answered()
 	}
 	_ = x.out.Answer(answer.Status, answer.Header, body)
 	return true, nil
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -54,8 +54,6 @@
 	Body     io.Reader
 	// Close ends the exchange; whole says that the body was read to its end.
 	Close func(whole bool)
-	// Spoil keeps the connection from being used again.
-	Spoil func()
 }
 
 // ErrForeign is an answer that belongs to another request.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/eventstream"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
 const (
@@ -52,12 +53,7 @@
 	if len(x.ran) == 0 {
 		return
 	}
-	timer := time.NewTimer(time.Duration(x.sends) * resendPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	_ = wait.For(ctx, time.Duration(x.sends)*resendPause)
 }
 
 // tryStream asks one worker. done means that nothing more is to be asked.
@@ -118,11 +114,11 @@
 // passEvents passes whole events on until the stream's proper end.
 func (x *exchange) passEvents(worker *backend.Worker, dog *watchdog, answer *Answer, perEvent int) error {
 	reader := eventstream.NewReader(answer.Body)
-	begun, before := time.Now(), time.Time{}
+	var before time.Time
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			worker.Answered(time.Since(begun))
+			worker.Answered()
 			return x.start(answer)
 		}
 		if err != nil {
--- a/internal/history/places.go
+++ b/internal/history/places.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
 // said is what one place said.
@@ -26,12 +28,8 @@
 		if err == nil || failed < places {
 			return value, err
 		}
-		timer := time.NewTimer(roundPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if wait.For(ctx, roundPause) != nil {
 			return none, err
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -86,7 +86,6 @@
 // Answer is a response whose body must be read or discarded, then closed.
 type Answer struct {
 	*http.Response
-	Reused  bool // the connection had carried a request before
 	pool    *Pool
 	conn    *conn
 	stop    func() bool
@@ -98,7 +97,7 @@
 // closes the connection, also while the body is read. If nothing was written,
 // the error's chain holds ErrNotWritten.
 func (p *Pool) Send(ctx context.Context, request *http.Request) (*Answer, error) {
-	c, reused, err := p.take(ctx)
+	c, err := p.take(ctx)
 	if err != nil {
 		return nil, errors.Join(ErrNotWritten, err)
 	}
@@ -114,7 +113,7 @@
 		c.Conn.Close()
 		return nil, err
 	}
-	return &Answer{Response: response, Reused: reused, pool: p, conn: c, stop: stop}, nil
+	return &Answer{Response: response, pool: p, conn: c, stop: stop}, nil
 }
 
 func (c *conn) write(request *http.Request) error {
@@ -159,15 +158,14 @@
 	return 0, false
 }
 
-func (p *Pool) take(ctx context.Context) (*conn, bool, error) {
+func (p *Pool) take(ctx context.Context) (*conn, error) {
 	for {
 		c := p.pop()
 		if c == nil {
-			fresh, err := p.dial(ctx)
-			return fresh, false, err
+			return p.dial(ctx)
 		}
 		if time.Now().Before(c.expires) && quiet(c.Conn) {
-			return c, true, nil
+			return c, nil
 		}
 		c.Conn.Close()
 	}
@@ -318,7 +316,7 @@
 		var response *http.Response
 		response, err = http.ReadResponse(a.conn.reader, a.Request)
 		if err == nil {
-			next := &Answer{Response: response, Reused: a.Reused, pool: a.pool, conn: a.conn, stop: a.stop}
+			next := &Answer{Response: response, pool: a.pool, conn: a.conn, stop: a.stop}
 			next.Spoil()
 			return next, nil
 		}
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
 const (
@@ -25,12 +27,7 @@
 	case <-s.drain:
 	}
 	begun := time.Now()
-	timer := time.NewTimer(leaveFor(s.options.Settings.Grace))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	_ = wait.For(ctx, leaveFor(s.options.Settings.Grace))
 	limited, cancel := context.WithDeadline(ctx, begun.Add(s.options.Settings.Grace-exitMargin))
 	defer cancel()
 	err := front.Shutdown(limited)
