Spread first turns evenly over a zone's workers when a shortlist is ranked

Cause: beyond 32 workers a decision ranks 8 of them, taken at a stride from the list of all, sorted by id. Ruled out: unlike speeds (the busiest were not the slowest before the burst).

The list now has the node's own zone first, and the stride runs over that part; three of other zones are looked at besides.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -39,14 +39,16 @@
 	waitOfBusy = 100 * time.Millisecond
 	// lookAtAll is up to how many workers all are ranked; beyond, a shortlist is.
 	lookAtAll = 32
-	// shortlisted is how many of the best by hash a shortlist holds.
-	shortlisted = 8
+	// shortlisted is how many workers a shortlist holds, and shortlistedAway how
+	// many of them at least are of other zones.
+	shortlisted     = 8
+	shortlistedAway = 3
 )
 
 // Choose picks the worker for a request. It fails with fault.Unavailable if
 // there is none.
 func (r *Registry) Choose(query Query) (*Worker, error) {
-	workers := shortlist(query, allowed(query, r.Of(query.Service)))
+	workers := r.shortlist(query)
 	now := r.options.Now()
 	candidates := make([]place.Candidate, 0, len(workers))
 	for _, worker := range workers {
@@ -74,10 +76,16 @@
 	return nil, err
 }
 
-func allowed(query Query, workers []*Worker) []*Worker {
-	if len(query.Only) == 0 {
-		return workers
+// shortlist lists the workers to rank for a request.
+func (r *Registry) shortlist(query Query) []*Worker {
+	workers, near := r.of(query.Service)
+	if len(query.Only) > 0 {
+		return allowed(query, workers)
 	}
+	return shortlist(query, workers, near)
+}
+
+func allowed(query Query, workers []*Worker) []*Worker {
 	kept := make([]*Worker, 0, len(query.Only))
 	for _, worker := range workers {
 		if slices.Contains(query.Only, worker.Record().ID) {
@@ -87,20 +95,17 @@
 	return kept
 }
 
-// shortlist keeps the home and those that rank first by hash of the key, so
-// that the cost of a decision does not grow with the number of workers.
-func shortlist(query Query, workers []*Worker) []*Worker {
+// shortlist keeps the home and a few workers by hash of the key, so that the cost
+// of a decision does not grow with the number of workers. The first near of them
+// are of this node's zone; they come first, and each of them is on as many
+// shortlists as any other, so that none draws more first turns than the rest.
+func shortlist(query Query, workers []*Worker, near int) []*Worker {
 	if len(workers) <= lookAtAll {
 		return workers
 	}
 	short := make([]*Worker, 0, shortlisted+1)
-	start := int(xxhash.Sum64String(query.Key) % uint64(len(workers)))
-	for step := 0; step < len(workers) && len(short) < shortlisted; step++ {
-		worker := workers[(start+step*stride(len(workers)))%len(workers)]
-		if !slices.Contains(short, worker) && !slices.Contains(query.Exclude, worker.Record().ID) && !worker.Leaving() {
-			short = append(short, worker)
-		}
-	}
+	short = appendSpread(short, query, workers[:near], shortlisted)
+	short = appendSpread(short, query, workers[near:], max(shortlisted-len(short), shortlistedAway))
 	for _, worker := range workers {
 		if query.Home != "" && worker.Record().ID == query.Home && !slices.Contains(short, worker) {
 			short = append(short, worker)
@@ -109,8 +114,23 @@
 	return short
 }
 
-// stride spreads the shortlisted over the sorted list.
-func stride(count int) int { return max(1, count/shortlisted) }
+// appendSpread appends up to most workers that may get new work, spread over the
+// list from a place that the key decides.
+func appendSpread(short []*Worker, query Query, workers []*Worker, most int) []*Worker {
+	if len(workers) == 0 {
+		return short
+	}
+	start := int(xxhash.Sum64String(query.Key) % uint64(len(workers)))
+	stride := max(1, len(workers)/most)
+	wanted := len(short) + most
+	for step := 0; step < len(workers) && len(short) < wanted; step++ {
+		worker := workers[(start+step*stride)%len(workers)]
+		if !slices.Contains(short, worker) && !slices.Contains(query.Exclude, worker.Record().ID) && !worker.Leaving() {
+			short = append(short, worker)
+		}
+	}
+	return short
+}
 
 func (w *Worker) candidate(query Query, zone string, now time.Time) place.Candidate {
 	w.mutex.Lock()
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -37,11 +38,18 @@
 	options  Options
 	mutex    sync.Mutex
 	workers  map[string]*Worker
-	services map[string][]*Worker // sorted by ID; replaced, never changed in place
+	services map[string]roster
 	vanished map[string][]vanished
 	lost     chan *Worker // workers that took no connection
 }
 
+// roster lists the workers of a service: those of the node's zone first, else by
+// ID. Its slice is replaced, never changed in place.
+type roster struct {
+	workers []*Worker
+	near    int // of the node's zone
+}
+
 type vanished struct {
 	worker *Worker
 	until  time.Time
@@ -55,7 +63,7 @@
 	return &Registry{
 		options:  options,
 		workers:  map[string]*Worker{},
-		services: map[string][]*Worker{},
+		services: map[string]roster{},
 		vanished: map[string][]vanished{},
 		lost:     make(chan *Worker, lostBacklog),
 	}
@@ -69,14 +77,29 @@
 	if known, ok := r.workers[record.ID]; ok {
 		return known.update(record)
 	}
-	worker := &Worker{record: record, Pool: r.pool(record.Address), unreachable: r.noteLost}
+	worker := &Worker{id: record.ID, zone: record.Zone, record: record, Pool: r.pool(record.Address), unreachable: r.noteLost}
 	r.workers[record.ID] = worker
-	list := append(slices.Clone(r.services[record.Service]), worker)
-	slices.SortFunc(list, func(a, b *Worker) int { return strings.Compare(a.record.ID, b.record.ID) })
-	r.services[record.Service] = list
+	r.services[record.Service] = r.rosterOf(append(slices.Clone(r.services[record.Service].workers), worker))
 	return true
 }
 
+// rosterOf orders workers. Their zones and IDs do not change.
+func (r *Registry) rosterOf(workers []*Worker) roster {
+	slices.SortFunc(workers, func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(r.distance(a), r.distance(b)), strings.Compare(a.id, b.id))
+	})
+	near, _ := slices.BinarySearchFunc(workers, 1, func(w *Worker, distance int) int { return cmp.Compare(r.distance(w), distance) })
+	return roster{workers: workers, near: near}
+}
+
+// distance is 0 for workers of the node's zone, else 1.
+func (r *Registry) distance(worker *Worker) int {
+	if worker.zone == r.options.Zone {
+		return 0
+	}
+	return 1
+}
+
 func (r *Registry) pool(address string) *httpconn.Pool {
 	options := httpconn.Options{
 		Address:     address,
@@ -112,7 +135,7 @@
 	service, wasDraining := worker.record.Service, worker.record.Draining
 	worker.gone = true
 	worker.mutex.Unlock()
-	r.services[service] = slices.DeleteFunc(slices.Clone(r.services[service]), func(w *Worker) bool { return w == worker })
+	r.services[service] = r.rosterOf(slices.DeleteFunc(slices.Clone(r.services[service].workers), func(w *Worker) bool { return w == worker }))
 	worker.Pool.Close()
 	if !wasDraining {
 		until := r.options.Now().Add(lingering)
@@ -141,17 +164,22 @@
 // Of lists the workers of a service, or those that vanished a moment ago when it
 // has no other. The slice must not be changed.
 func (r *Registry) Of(service string) []*Worker {
+	workers, _ := r.of(service)
+	return workers
+}
+
+// of is Of, and how many of the workers, which come first, are of the node's zone.
+func (r *Registry) of(service string) (workers []*Worker, near int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if list := r.services[service]; len(list) > 0 {
-		return list
+	if known := r.services[service]; len(known.workers) > 0 {
+		return known.workers, known.near
 	}
 	r.vanished[service] = r.stillLingering(service)
-	var list []*Worker
 	for _, candidate := range r.vanished[service] {
-		list = append(list, candidate.worker)
+		workers = append(workers, candidate.worker)
 	}
-	return list
+	return workers, 0
 }
 
 // Has reports whether the worker is one of the service's and takes new work.
--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -36,6 +36,7 @@
 type Worker struct {
 	Pool *httpconn.Pool
 
+	id, zone    string        // of its first entry; they do not change
 	unreachable func(*Worker) // told when no connection comes up
 
 	mutex      sync.Mutex
