Nodes ask each other for a program's tokens before they draw more

Cause, from the logs: a node drew the tokens, the turn's history could not be read and it was refused unrun; the tokens stayed at that node. Giving them back 0.7 s later failed while the table was down and was never tried again, and what a failed draw had got was never given back at all.

Tried first, not kept: giving back after every refused turn, and again until it succeeds.

So nothing is given back while a node runs. A row names the processes that drew; a node that lacks tokens asks them over internal/peer, newest first, and they hand over what they do not use, and half of the rest. Nobody writes. A node that stops as planned gives back what it holds. A refused transaction is no longer taken to be in doubt. Turns that continue read the row before they write.

TestBudgetIsHeldAcrossNodes now lets its two nodes ask each other in place of waiting for a give-back, with the same bounds.

--- a/cmd/cloverwheeld/main.go
+++ b/cmd/cloverwheeld/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/apex/log"
@@ -30,6 +31,10 @@
 	exitUsage   = 2 // wrong flags or settings
 )
 
+// processDigits of a random identifier tell a process from all others; they are
+// enough that nobody guesses them.
+const processDigits = 16
+
 func main() {
 	root := rootCommand()
 	if err := root.Run(context.Background(), os.Args); err != nil {
@@ -99,7 +104,7 @@
 	lines := eventlog.New(os.Stdout)
 	go lines.Run(ctx)
 	defer lines.Flush()
-	process := settings.Server.Node + "/" + uuid.NewString()[:8]
+	process := settings.Server.Node + "/" + strings.ReplaceAll(uuid.NewString(), "-", "")[:processDigits]
 	logger := &log.Logger{Handler: logfmt.New(lines), Level: log.InfoLevel}
 	metrics := server.NewMetrics()
 	node := server.New(server.Options{
--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -2,8 +2,9 @@
 // through whatever nodes its turns go. A program's account is a few rows of the
 // table, its shares. Before a turn is sent to a worker, the most that it may
 // generate is drawn from a share by a conditional transaction, so what all nodes
-// have drawn together never exceeds the budget. A node that dies strands what it
-// had drawn and not used: too little is spent then, never too much.
+// have drawn together never exceeds the budget. A node that lacks tokens asks the
+// nodes that hold some before it draws more. One that dies strands what it had
+// drawn and not used: too little is spent then, never too much.
 package budget
 
 import (
@@ -13,22 +14,23 @@
 
 // account is a program's account as this node knows it.
 type account struct {
-	turn   chan struct{} // held by the one who uses the shares
-	shares [shares]*share
+	program string
+	turn    chan struct{}  // held by the one who uses the shares and holders
+	shares  [shares]*share // rows of the table
+	holders []Holder       // other processes that may hold tokens, the newest last
 
-	mutex sync.Mutex
-	free  int // drawn by this node and not in use
-	open  int // reservations in use
-	home  string
-	used  time.Time // when a turn last began; guarded by the book
-	idle  time.Time // since when no turn runs
-	spent time.Time // when the table last said that the budget is spent
+	mutex  sync.Mutex
+	free   int // held by this node and not in use
+	home   string
+	used   time.Time // when a turn last began; guarded by the book
+	spent  time.Time // when the table last said that the budget is spent
+	takers []Holder  // processes that got tokens from this one
 }
 
-func newAccount(program, holder string) *account {
-	opened := &account{turn: make(chan struct{}, 1)}
+func newAccount(program string, self Holder) *account {
+	opened := &account{program: program, turn: make(chan struct{}, 1)}
 	for index := range opened.shares {
-		opened.shares[index] = &share{key: keyOf(program, index), holder: holder}
+		opened.shares[index] = &share{key: keyOf(program, index), self: self}
 	}
 	return opened
 }
@@ -41,11 +43,19 @@
 		return false
 	}
 	a.free -= tokens
-	a.open++
 	return true
 }
 
-// add puts drawn tokens to the free ones.
+// takeAll empties what this node holds and does not use.
+func (a *account) takeAll() int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	tokens := a.free
+	a.free = 0
+	return tokens
+}
+
+// add puts tokens to the free ones.
 func (a *account) add(tokens int) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -69,8 +79,24 @@
 	return total
 }
 
-// homeOf returns the worker of the program's newest turn: this node's own word,
-// else what a share says. The caller holds the turn.
+// setHome notes the worker of the program's newest turn, if it is known.
+func (a *account) setHome(worker string) {
+	if worker == "" {
+		return
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.home = worker
+}
+
+// lastHome is this node's own word on the worker of the program's newest turn.
+func (a *account) lastHome() string {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.home
+}
+
+// homeOf is lastHome, else what a share says. The caller holds the turn.
 func (a *account) homeOf() string {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -82,15 +108,21 @@
 	return a.home
 }
 
-// withdraw takes all free tokens out of this node's hands, if no turn has run
-// for a while. They are not used again here, whatever becomes of giving them back.
-func (a *account) withdraw(rest time.Duration) int {
+// noteSpent notes the table's word that the budget is spent.
+func (a *account) noteSpent() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.open > 0 || time.Since(a.idle) < rest {
-		return 0
+	a.spent = time.Now()
+}
+
+// stillSpent repeats the table's word of a moment ago. The caller holds the turn.
+func (a *account) stillSpent(budget, tokens int) error {
+	a.mutex.Lock()
+	recent := time.Since(a.spent) < spentFor
+	a.mutex.Unlock()
+	left := a.left(budget)
+	if !recent || left >= tokens {
+		return nil
 	}
-	tokens := a.free
-	a.free = 0
-	return tokens
+	return spentError(left, budget, tokens)
 }
--- a/internal/budget/book_test.go
+++ b/internal/budget/book_test.go
@@ -18,17 +18,58 @@
 	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
 )
 
-func book(table store.Store, holder string) *Book {
-	return NewBook(Options{Store: table, Holder: holder})
+func book(table store.Store, process string) *Book {
+	return NewBook(Options{Store: table, Self: Holder{Process: process, Address: process}})
+}
+
+// cluster is a set of books that can ask each other.
+type cluster struct {
+	table store.Store
+	mutex sync.Mutex
+	books map[string]*Book
+	// fate, if not nil, says whether a question arrives and whether its answer does.
+	fate func() (asked, answered bool)
+	asks int
+}
+
+func newCluster(table store.Store) *cluster { return &cluster{table: table, books: map[string]*Book{}} }
+
+func (c *cluster) book(process string) *Book {
+	made := NewBook(Options{Store: c.table, Self: Holder{Process: process, Address: process}, Peers: c})
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.books[process] = made
+	return made
+}
+
+// HandOver implements Peers.
+func (c *cluster) HandOver(ctx context.Context, address string, request HandOverRequest) (HandOverAnswer, error) {
+	c.mutex.Lock()
+	asked, answered := true, true
+	if c.fate != nil {
+		asked, answered = c.fate()
+	}
+	c.asks++
+	to := c.books[address]
+	c.mutex.Unlock()
+	var answer HandOverAnswer
+	if asked && to != nil {
+		answer = to.HandOver(ctx, request)
+	}
+	if !asked || !answered || to == nil {
+		<-ctx.Done()
+		return HandOverAnswer{}, ctx.Err()
+	}
+	return answer, nil
 }
 
 func TestBudgetIsHeldAcrossNodes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := storetest.New()
-		books := []*Book{book(table, "a"), book(table, "b")}
+		nodes := newCluster(storetest.New())
+		books := []*Book{nodes.book("a"), nodes.book("b")}
 		used := 0
 		for turn := range 100 {
-			reservation, err := books[turn%2].Reserve(t.Context(), "p", 5000, 500)
+			reservation, err := books[turn%2].Reserve(t.Context(), Claim{Program: "p", Budget: 5000, Tokens: 500})
 			if err != nil {
 				require.True(t, fault.Is(err, fault.BudgetExhausted), err)
 				require.Equal(t, fault.RanNo, fault.From(err).Ran)
@@ -39,7 +80,7 @@
 			time.Sleep(time.Second)
 		}
 		require.LessOrEqual(t, used, 5000)
-		require.Greater(t, used, 5000-2*500, "what nodes hold idle is given back when the budget runs low")
+		require.Greater(t, used, 5000-2*500, "what one node holds idle is there for the other")
 		time.Sleep(time.Minute)
 	})
 }
@@ -47,10 +88,10 @@
 func TestWholeBudgetFitsOneTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		one := book(storetest.New(), "a")
-		reservation, err := one.Reserve(t.Context(), "p", 575, 575)
+		reservation, err := one.Reserve(t.Context(), Claim{Program: "p", Budget: 575, Tokens: 575})
 		require.NoError(t, err, "a turn may draw from all shares together")
 		reservation.Settle(575, "")
-		_, err = one.Reserve(t.Context(), "p", 575, 575)
+		_, err = one.Reserve(t.Context(), Claim{Program: "p", Budget: 575, Tokens: 575})
 		require.True(t, fault.Is(err, fault.BudgetExhausted))
 		time.Sleep(time.Minute)
 	})
@@ -68,7 +109,7 @@
 				return storetest.None
 			})
 			begun := time.Now()
-			_, err := book(table, "a").Reserve(t.Context(), "p", 6000, 500)
+			_, err := book(table, "a").Reserve(t.Context(), Claim{Program: "p", Budget: 6000, Tokens: 500})
 			require.NoError(t, err)
 			require.Less(t, time.Since(begun), 200*time.Millisecond)
 		})
@@ -82,11 +123,11 @@
 		one := book(table, "a")
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err := one.Reserve(ctx, "p", 6000, 500)
+		_, err := one.Reserve(ctx, Claim{Program: "p", Budget: 6000, Tokens: 500})
 		require.True(t, fault.Is(err, fault.Unavailable), err)
 		require.Equal(t, fault.RanNo, fault.From(err).Ran)
 		table.SetFault(nil)
-		_, err = one.Reserve(t.Context(), "p", 6000, 500)
+		_, err = one.Reserve(t.Context(), Claim{Program: "p", Budget: 6000, Tokens: 500})
 		require.NoError(t, err)
 	})
 }
@@ -103,15 +144,15 @@
 				return storetest.None
 			})
 			one := book(table, "a")
-			reservation, err := one.Reserve(t.Context(), "p", 600, 200)
+			reservation, err := one.Reserve(t.Context(), Claim{Program: "p", Budget: 600, Tokens: 200})
 			require.NoError(t, err)
 			reservation.Settle(200, "")
 			for range 2 {
-				reservation, err = one.Reserve(t.Context(), "p", 600, 200)
+				reservation, err = one.Reserve(t.Context(), Claim{Program: "p", Budget: 600, Tokens: 200})
 				require.NoError(t, err, "the first draw counts once")
 				reservation.Settle(200, "")
 			}
-			_, err = one.Reserve(t.Context(), "p", 600, 200)
+			_, err = one.Reserve(t.Context(), Claim{Program: "p", Budget: 600, Tokens: 200})
 			require.True(t, fault.Is(err, fault.BudgetExhausted))
 			time.Sleep(time.Minute)
 		})
@@ -122,15 +163,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := storetest.New()
 		one, other := book(table, "a"), book(table, "b")
-		reservation, err := one.Reserve(t.Context(), "p", 6000, 500)
+		reservation, err := one.Reserve(t.Context(), Claim{Program: "p", Budget: 6000, Tokens: 500})
 		require.NoError(t, err)
 		reservation.Settle(500, "w7")
 		for range 6 {
-			reservation, err = one.Reserve(t.Context(), "p", 6000, 500)
+			reservation, err = one.Reserve(t.Context(), Claim{Program: "p", Budget: 6000, Tokens: 500})
 			require.NoError(t, err)
 			reservation.Settle(500, "w7")
 		}
-		reservation, err = other.Reserve(t.Context(), "p", 6000, 500)
+		reservation, err = other.Reserve(t.Context(), Claim{Program: "p", Budget: 6000, Tokens: 500})
 		require.NoError(t, err)
 		require.Equal(t, "w7", reservation.Home)
 		time.Sleep(time.Minute)
@@ -170,7 +211,16 @@
 		return storetest.Fault(draw(int(storetest.Applied) + 1))
 	})
 	books := make([]*Book, 3)
-	restart := func(index int) { books[index] = book(table, fmt.Sprintf("%d-%d", index, draw(1<<30))) }
+	nodes := newCluster(table)
+	nodes.fate = func() (asked, answered bool) { return draw(100) >= faulty, draw(100) >= faulty }
+	restart := func(index int) {
+		if books[index] != nil && draw(2) == 0 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			books[index].GiveBack(ctx)
+			cancel()
+		}
+		books[index] = nodes.book(fmt.Sprintf("%d-%d", index, draw(1<<30)))
+	}
 	for index := range books {
 		restart(index)
 	}
@@ -185,7 +235,7 @@
 		default:
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			most := 50 + draw(300)
-			reservation, err := books[index].Reserve(ctx, "p", budget, most)
+			reservation, err := books[index].Reserve(ctx, Claim{Program: "p", Budget: budget, Tokens: most})
 			cancel()
 			if err == nil {
 				used := draw(most + 1)
@@ -202,3 +252,169 @@
 	}
 	return nil
 }
+
+// TestUnusedTokensAreThereForOtherNodes: a turn that was refused unrun at one node
+// is asked for again at another, of a budget that holds little more than it.
+func TestUnusedTokensAreThereForOtherNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newCluster(storetest.New())
+		reservation, err := nodes.book("a").Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 589})
+		require.NoError(t, err)
+		reservation.Settle(0, "")
+		_, err = nodes.book("b").Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 589})
+		require.NoError(t, err, "no turn has run")
+	})
+}
+
+// TestWhatAFailedDrawGotIsNotLost: two of three shares are down for a while. What
+// the node drew from the third for a turn that was refused is there for others.
+func TestWhatAFailedDrawGotIsNotLost(t *testing.T) {
+	for _, down := range []storetest.Fault{storetest.Refused, storetest.Silent, storetest.Broken, storetest.Late, storetest.Lost} {
+		synctest.Test(t, func(t *testing.T) {
+			table := storetest.New()
+			nodes := newCluster(table)
+			var all atomic.Bool
+			up := keyOf("p", 0).Part
+			table.SetFault(func(part string, _ bool) storetest.Fault {
+				if part == up && !all.Load() {
+					return storetest.None
+				}
+				return down
+			})
+			one := nodes.book("a")
+			for range 3 {
+				ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+				_, err := one.Reserve(ctx, Claim{Program: "p", Budget: 900, Tokens: 589})
+				cancel()
+				require.True(t, fault.Is(err, fault.Unavailable), err)
+				all.Store(true) // from now on all of the table is down
+			}
+			table.SetFault(nil)
+			table.Release(func(int) int { return 0 })
+			_, err := nodes.book("b").Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 589})
+			require.NoError(t, err, "fault %d: no turn has run", down)
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// TestProgramGoesOnAtAnotherNodeWhileTheTableIsDown: nodes that know of each other
+// need no table for what one of them holds.
+func TestProgramGoesOnAtAnotherNodeWhileTheTableIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		nodes := newCluster(table)
+		claim := Claim{Program: "p", Budget: 60_000, Tokens: 500}
+		a, b := nodes.book("a"), nodes.book("b")
+		for _, one := range []*Book{a, b} {
+			reservation, err := one.Reserve(t.Context(), claim)
+			require.NoError(t, err)
+			reservation.Settle(100, "w1")
+		}
+		table.SetFault(func(string, bool) storetest.Fault { return storetest.Silent })
+		ran := 0
+		for turn := range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+			reservation, err := []*Book{a, b}[turn%2].Reserve(ctx, claim)
+			cancel()
+			if err != nil {
+				break
+			}
+			ran++
+			reservation.Settle(500, "w1")
+		}
+		require.GreaterOrEqual(t, ran, 4, "five turns were drawn")
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestSecondNodeNeedsNoWrite: a node that meets a program under way reads who holds
+// its tokens, and gets some from there.
+func TestSecondNodeNeedsNoWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		nodes := newCluster(table)
+		claim := Claim{Program: "p", Budget: 60_000, Tokens: 500}
+		reservation, err := nodes.book("a").Reserve(t.Context(), claim)
+		require.NoError(t, err)
+		reservation.Settle(300, "w7")
+		claim.Continues = true
+		two := nodes.book("b")
+		reservation, err = two.Reserve(t.Context(), claim)
+		require.NoError(t, err)
+		require.Equal(t, "w7", reservation.Home)
+		require.True(t, reservation.Handed)
+		reservation.Settle(500, "w8")
+		three := nodes.book("c")
+		_, err = three.Reserve(t.Context(), claim)
+		require.NoError(t, err)
+		commits, _ := table.Calls()
+		require.Equal(t, 1, commits)
+	})
+}
+
+// TestSilentNodeIsNotAskedAgainAtOnce: a node that died costs a turn a moment, and
+// then none for a while.
+func TestSilentNodeIsNotAskedAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newCluster(storetest.New())
+		claim := Claim{Program: "p", Budget: 60_000, Tokens: 500}
+		_, err := nodes.book("a").Reserve(t.Context(), claim)
+		require.NoError(t, err)
+		nodes.fate = func() (asked, answered bool) { return false, false }
+		two := nodes.book("b")
+		begun := time.Now()
+		for range 10 {
+			_, err := two.Reserve(t.Context(), claim)
+			require.NoError(t, err)
+		}
+		require.Equal(t, 1, nodes.asks)
+		require.Less(t, time.Since(begun), 100*time.Millisecond)
+	})
+}
+
+// TestStoppingNodeGivesBack: what a node held is there after it has stopped.
+func TestStoppingNodeGivesBack(t *testing.T) {
+	for _, lost := range []storetest.Fault{storetest.None, storetest.Applied} {
+		synctest.Test(t, func(t *testing.T) {
+			table := storetest.New()
+			one := book(table, "a")
+			reservation, err := one.Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 589})
+			require.NoError(t, err)
+			reservation.Settle(0, "")
+			first := true
+			table.SetFault(func(_ string, write bool) storetest.Fault {
+				if !write || !first {
+					return storetest.None
+				}
+				first = false
+				return lost
+			})
+			one.GiveBack(t.Context())
+			_, err = book(table, "b").Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 589})
+			require.NoError(t, err)
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// TestContinuingTurnReadsBeforeItWrites: the table limits writes harder than
+// reads, and refuses a write by one who does not know the row.
+func TestContinuingTurnReadsBeforeItWrites(t *testing.T) {
+	for _, continues := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			table := storetest.New()
+			claim := Claim{Program: "p", Budget: 60_000, Tokens: 500}
+			_, err := book(table, "a").Reserve(t.Context(), claim)
+			require.NoError(t, err)
+			commits, _ := table.Calls()
+			require.Equal(t, 1, commits, "a first turn takes one call")
+			claim.Continues = continues
+			_, err = book(table, "b").Reserve(t.Context(), claim)
+			require.NoError(t, err)
+			commits, reads := table.Calls()
+			require.Equal(t, 3, commits+reads)
+			require.Equal(t, continues, reads == 1)
+		})
+	}
+}
--- /dev/null
+++ b/internal/budget/draw.go
@@ -0,0 +1,132 @@
+package budget
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/wait"
+)
+
+const (
+	// aheadTurns is for how many further turns a node draws at once, so that most
+	// turns need no call and programs under way outlive short outages.
+	aheadTurns = 4
+	// aheadShare of what is left is the most that is drawn ahead: what a node
+	// that dies strands stays small against the budget.
+	aheadShare = 6
+	// spentFor is for how long a budget that was spent is taken to be so.
+	spentFor = time.Second
+	// shareWait is how long one share is waited for before the next is tried.
+	shareWait = 130 * time.Millisecond
+	// roundPause is the pause after a round in which no share said enough.
+	roundPause = 50 * time.Millisecond
+)
+
+// draw gets what this node lacks for a turn, from other nodes or the table, and
+// takes the turn's tokens. If it succeeds, the caller holds the account's turn.
+func (b *Book) draw(ctx context.Context, account *account, claim Claim, inquiry *inquiry) error {
+	select {
+	case account.turn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for {
+		taken, err := b.drawOnce(ctx, account, claim, inquiry)
+		if taken {
+			return nil
+		}
+		if err != nil && !fault.Is(err, fault.BudgetExhausted) && wait.For(ctx, roundPause) == nil {
+			continue
+		}
+		<-account.turn
+		if err == nil {
+			err = ctx.Err()
+		}
+		return err
+	}
+}
+
+// drawOnce asks the nodes that are known to hold tokens, and then each share
+// once. It fails with fault.BudgetExhausted if all shares were read and hold too
+// little, and no node handed over what lacks.
+func (b *Book) drawOnce(ctx context.Context, account *account, claim Claim, inquiry *inquiry) (taken bool, failure error) {
+	budget, tokens := claim.Budget, claim.Tokens
+	if account.take(tokens) {
+		return true, nil
+	}
+	if err := account.stillSpent(budget, tokens); err != nil {
+		return false, err
+	}
+	b.ask(ctx, account, tokens, inquiry)
+	for index, share := range account.shares {
+		limited, cancel := context.WithTimeout(ctx, shareWait)
+		err := b.drawFrom(limited, account, share, limitOf(budget, index), claim, inquiry)
+		cancel()
+		if err != nil {
+			failure = err
+		}
+		if account.take(tokens) {
+			return true, nil
+		}
+		if ctx.Err() != nil {
+			return false, ctx.Err()
+		}
+	}
+	if failure != nil {
+		return false, failure
+	}
+	account.noteSpent()
+	return false, spentError(account.left(budget), budget, tokens)
+}
+
+// drawFrom draws from one share until the turn has its tokens or the share has
+// none. When it learns that other nodes have drawn there, it asks them first. No
+// error means that the share's row is known for certain.
+func (b *Book) drawFrom(ctx context.Context, account *account, share *share, limit int, claim Claim, inquiry *inquiry) error {
+	budget, tokens := claim.Budget, claim.Tokens
+	certain := false
+	for {
+		lacking := account.lacks(tokens)
+		if lacking <= 0 {
+			return nil
+		}
+		left := share.left(limit)
+		if left == 0 && certain {
+			return nil
+		}
+		if left == 0 || claim.Continues && !share.seen {
+			drawn, err := share.read(ctx, b.options.Store)
+			if err != nil {
+				return err
+			}
+			account.add(drawn)
+			certain = true
+			b.ask(ctx, account, tokens, inquiry)
+			continue
+		}
+		wanted := min(left, lacking+ahead(account.left(budget)-lacking, tokens))
+		drawn, done, err := share.commit(ctx, b.options.Store, wanted, account.homeOf())
+		if err != nil {
+			return err
+		}
+		account.add(drawn)
+		if done && share.left(limit) == 0 {
+			return nil
+		}
+		certain = !done
+		if !done {
+			b.ask(ctx, account, tokens, inquiry)
+		}
+	}
+}
+
+// ahead is what is drawn beyond a turn's need.
+func ahead(left, tokens int) int {
+	return max(0, min(aheadTurns*tokens, left/aheadShare))
+}
+
+func spentError(left, budget, tokens int) error {
+	return fault.Newf(fault.BudgetExhausted, "raise the program's budget or start a new program",
+		"%d tokens are left of a budget of %d, and the turn may need %d", left, budget, tokens)
+}
--- a/internal/budget/row.go
+++ b/internal/budget/row.go
@@ -26,9 +26,16 @@
 
 // row is what the table keeps of one share of a program's budget.
 type row struct {
-	Drawn int               // tokens that nodes hold or have used
-	Last  map[string]uint64 // the newest transaction of each node that drew
-	Home  string            // worker that ran the program's newest turn
+	Drawn   int                // tokens that nodes hold or have used
+	Holders map[string]holding // the processes that drew
+	Newest  string             // the one that drew last
+	Home    string             // worker that ran the program's newest turn
+}
+
+// holding is what a row says of a process that drew from it.
+type holding struct {
+	Sequence uint64 // of its newest transaction
+	Address  string // where it answers other nodes
 }
 
 // life is how long an account outlives its last transaction. A program that
--- a/internal/budget/share.go
+++ b/internal/budget/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/store"
@@ -13,12 +14,12 @@
 // holder of its account's turn may use it.
 type share struct {
 	key      store.Key
-	holder   string
+	self     Holder
 	known    row
 	version  store.Version
+	seen     bool // the row, or that there is none, was learnt from the table
 	sequence uint64
 	unsure   []change // transactions of unknown effect, all on the known version
-	held     int      // what this node has drawn here and not given back
 }
 
 // change is one transaction on a share.
@@ -41,9 +42,9 @@
 	return s.learn(stored)
 }
 
-// commit changes what this node holds by tokens. When the row had changed,
-// nothing happens but that it is known then, and done is false. drawn is what
-// this or an earlier transaction has drawn.
+// commit changes what is drawn by tokens. When the row had changed, nothing
+// happens but that it is known then, and done is false. drawn is what this or an
+// earlier transaction has drawn.
 func (s *share) commit(ctx context.Context, table store.Store, tokens int, home string) (drawn int, done bool, err error) {
 	next, planned := s.plan(tokens, home)
 	version, err := store.CommitHedged(ctx, table, store.Transaction{
@@ -55,41 +56,31 @@
 		drawn, err = s.learn(refused.Find(s.key))
 		return drawn, false, err
 	}
+	if errors.Is(err, store.ErrNotDone) {
+		s.unsure = slices.DeleteFunc(s.unsure, func(c change) bool { return c == planned })
+	}
 	if err != nil {
 		return 0, false, err
 	}
-	s.known, s.version, s.unsure = next, version, nil
-	return s.applied(planned), true, nil
-}
-
-// giveBack lets go of tokens. It returns what an earlier transaction turns out
-// to have drawn.
-func (s *share) giveBack(ctx context.Context, table store.Store, tokens int, home string) (drawn int) {
-	target := s.held - tokens
-	for range maxGiveBacks {
-		found, done, err := s.commit(ctx, table, -tokens, home)
-		drawn += found
-		target += found
-		if done || err != nil || s.held <= target {
-			return drawn
-		}
-	}
-	return drawn
+	s.known, s.version, s.unsure, s.seen = next, version, nil, true
+	return max(0, tokens), true, nil
 }
 
-// maxGiveBacks bounds the tries to give back while other nodes use the share.
-const maxGiveBacks = 3
-
 // plan builds the row that a transaction writes. Its effect is unsure until an
 // answer is there.
 func (s *share) plan(tokens int, home string) (row, change) {
 	s.sequence++
 	planned := change{sequence: s.sequence, tokens: tokens}
-	next := row{Drawn: s.known.Drawn + tokens, Last: maps.Clone(s.known.Last), Home: home}
-	if next.Last == nil {
-		next.Last = map[string]uint64{}
+	next := row{
+		Drawn:   s.known.Drawn + tokens,
+		Holders: maps.Clone(s.known.Holders),
+		Newest:  s.self.Process,
+		Home:    home,
+	}
+	if next.Holders == nil {
+		next.Holders = map[string]holding{}
 	}
-	next.Last[s.holder] = planned.sequence
+	next.Holders[s.self.Process] = holding{Sequence: planned.sequence, Address: s.self.Address}
 	s.unsure = append(s.unsure, planned)
 	return next, planned
 }
@@ -102,13 +93,14 @@
 	if err != nil {
 		return 0, err
 	}
+	s.seen = true
 	if stored.Version == s.version && s.version != 0 {
 		return 0, nil
 	}
 	s.known, s.version = known, stored.Version
 	for _, earlier := range s.unsure {
-		if known.Last[s.holder] == earlier.sequence {
-			drawn += s.applied(earlier)
+		if known.Holders[s.self.Process].Sequence == earlier.sequence {
+			drawn += max(0, earlier.tokens)
 		}
 	}
 	if s.version != 0 {
@@ -117,12 +109,5 @@
 	return drawn, nil
 }
 
-// applied takes over the effect of a transaction and returns what it drew. What
-// was given back had left this node's hands before.
-func (s *share) applied(done change) int {
-	s.held += done.tokens
-	return max(0, done.tokens)
-}
-
 // left is what nobody has drawn, as far as this node knows.
 func (s *share) left(limit int) int { return max(0, limit-s.known.Drawn) }
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -62,7 +62,7 @@
 	f.forwarder = New(Options{
 		Workers:   f.workers,
 		Transport: f,
-		Budgets:   budget.NewBook(budget.Options{Store: table, Holder: "n"}),
+		Budgets:   budget.NewBook(budget.Options{Store: table, Self: budget.Holder{Process: "n"}}),
 		History:   history.New(history.Options{Store: table, CacheBytes: 1 << 20}),
 		Metrics:   NewMetrics(prometheus.NewRegistry()),
 		Logger:    logger,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -90,7 +90,8 @@
 	declines  int
 	worker    string // the last one asked
 	events    int
-	drawn     bool
+	drawn     bool // this node lacked tokens for the turn
+	handed    bool // and got some from another node
 	started   bool // the head of a stream was sent
 	answered  bool // the client has its final answer
 	lastEvent string
--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -83,6 +83,9 @@
 	if x.drawn {
 		fields["drawn"] = true
 	}
+	if x.handed {
+		fields["handed"] = true
+	}
 	if len(x.tried) > 0 {
 		fields["tried"] = strings.Join(x.tried, ",")
 	}
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -40,7 +40,7 @@
 	perEvent := configuration.Services[x.service].TokensPerEvent
 	refusal = x.stream(ctx, perEvent)
 	if reservation != nil {
-		x.drawn = reservation.Drawn
+		x.drawn, x.handed = reservation.Drawn, reservation.Handed
 		reservation.Settle(x.events*perEvent, x.homeAfter())
 	}
 	if refusal != nil {
@@ -71,7 +71,12 @@
 	group, waiting := errgroup.WithContext(waiting)
 	if x.request.Budget > 0 && x.request.Program != "" {
 		group.Go(func() (err error) {
-			reservation, err = x.options.Budgets.Reserve(waiting, x.request.Program, x.request.Budget, x.request.Output)
+			reservation, err = x.options.Budgets.Reserve(waiting, budget.Claim{
+				Program:   x.request.Program,
+				Budget:    x.request.Budget,
+				Tokens:    x.request.Output,
+				Continues: x.request.Continue != "",
+			})
 			return err
 		})
 	}
--- a/internal/forward/turn_test.go
+++ b/internal/forward/turn_test.go
@@ -164,6 +164,8 @@
 		require.Positive(t, got.refusal.RetryAfter)
 		require.Less(t, got.took, 3*time.Second/2)
 		require.Empty(t, f.sent())
+		f.table.SetFault(nil)
+		time.Sleep(5 * time.Minute) // what the draw may have done is settled
 	})
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -33,6 +33,7 @@
 	Front       string // IP:PORT for clients
 	Ready       string // IP:PORT for questions whether this node is ready
 	Metrics     string // IP:PORT for metrics; empty: none
+	Peers       string // IP:PORT for other nodes; empty: this node does not talk to them
 	MemoryBytes int64  // that the process may use; 0: not limited
 	Grace       time.Duration
 }
@@ -56,6 +57,8 @@
 	// Listen opens a listener and Dial a connection; nil is TCP.
 	Listen func(address string) (net.Listener, error)
 	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	// PeerNetwork carries messages to other nodes; nil is HTTP over TCP.
+	PeerNetwork PeerNetwork
 	// DialTimeout is how long a worker may take to accept a connection.
 	DialTimeout time.Duration
 	// Front and Ready make the handlers of the two addresses.
@@ -73,6 +76,8 @@
 	draining  atomic.Bool
 	listed    atomic.Bool // the list of workers is known
 	sweeper   *sweep.Sweeper
+	budgets   *budget.Book
+	peers     *peers
 	drain     chan struct{}
 	inFlight  atomic.Int64 // bytes of bodies
 }
@@ -105,9 +110,17 @@
 		Dial:        options.Dial,
 		OnDial:      options.Metrics.Dials.Inc,
 	})
+	peers := newPeers(options.Settings.Peers, options.PeerNetwork)
+	budgets := budget.NewBook(budget.Options{
+		Store: table,
+		Self:  budget.Holder{Process: options.Process, Address: options.Settings.Peers},
+		Peers: peers.budgets(),
+	})
 	return &Server{
 		options: options,
 		workers: workers,
+		budgets: budgets,
+		peers:   peers,
 		drain:   make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
 			Store:  table,
@@ -117,7 +130,7 @@
 		forwarder: forward.New(forward.Options{
 			Workers:   workers,
 			Transport: options.Transport,
-			Budgets:   budget.NewBook(budget.Options{Store: table, Holder: options.Process}),
+			Budgets:   budgets,
 			History:   history.New(history.Options{Store: table, CacheBytes: int(options.Settings.MemoryBytes / memoryForHistory)}),
 			Metrics:   options.Metrics.Requests,
 			Logger:    options.Logger,
@@ -186,6 +199,9 @@
 	if err := s.serve(group, ready, s.options.Settings.Ready); err != nil {
 		return err
 	}
+	if err := s.peers.serve(ctx, group, s, s.budgets); err != nil {
+		return err
+	}
 	metrics := &http.Server{Handler: s.options.Metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	if address := s.options.Settings.Metrics; address != "" {
 		if err := s.serve(group, metrics, address); err != nil {
@@ -196,6 +212,7 @@
 	group.Go(func() error {
 		defer cancel()
 		s.awaitStop(ctx, front)
+		s.giveBack(ctx)
 		return errors.Join(ready.Close(), metrics.Close())
 	})
 	return group.Wait()
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -16,6 +16,8 @@
 	leaveShare = 0.32
 	// exitMargin is what is left of the grace when the last requests are cut.
 	exitMargin = 400 * time.Millisecond
+	// giveBackTime of that bounds giving tokens back.
+	giveBackTime = 300 * time.Millisecond
 )
 
 // awaitStop returns when the node is to end at once, or has ended its requests.
@@ -37,6 +39,19 @@
 	}
 }
 
+// giveBack returns to the table the tokens that the node holds, when it stops as
+// planned.
+func (s *Server) giveBack(ctx context.Context) {
+	if !s.Draining() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, giveBackTime)
+	defer cancel()
+	begun := time.Now()
+	returned := s.budgets.GiveBack(ctx)
+	s.options.Logger.WithField("tokens", returned).WithField("ms", time.Since(begun).Milliseconds()).Info("tokens given back")
+}
+
 // leaveFor is how long a node with that grace goes on taking connections.
 func leaveFor(grace time.Duration) time.Duration {
 	return min(leaveTime, time.Duration(leaveShare*float64(grace)))
--- a/internal/store/hedge.go
+++ b/internal/store/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -34,7 +35,8 @@
 // CommitHedged commits a transaction whose effect its caller can recognise in
 // the rows of a Conflict. While no try has answered, it sends the same
 // transaction again on another connection, and takes the first answer that says
-// anything; that a part is closed is such an answer. It gives up when ctx ends; then the transaction may have had an effect.
+// anything; that a part is closed is such an answer. It gives up when ctx ends. Its error is ErrNotDone only if no try
+// can have had an effect.
 func CommitHedged(ctx context.Context, table Store, transaction Transaction) (Version, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -49,14 +51,14 @@
 		}()
 	}
 	launch()
-	running, retryPause := 1, firstRetryPause
+	running, unsure, retryPause := 1, false, firstRetryPause
 	patience := patienceOf(table)
 	timer := time.NewTimer(patience * hedgeSteps[0])
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return 0, ctx.Err()
+			return 0, notDone(ctx.Err(), !unsure && running == 0)
 		case <-timer.C:
 			launch()
 			running++
@@ -65,9 +67,13 @@
 			}
 		case result := <-results:
 			running--
-			if result.says() {
+			unsure = unsure || result.unsure()
+			if result.settles() {
 				return result.version, result.err
 			}
+			if result.says() {
+				return 0, notDone(result.err, !unsure && running == 0)
+			}
 			if running == 0 {
 				timer.Reset(retryPause)
 				retryPause = min(2*retryPause, longestRetryPause)
@@ -76,13 +82,33 @@
 	}
 }
 
+// notDone makes an error say that nothing was done, if that is certain, and else
+// makes sure that it does not say so.
+func notDone(err error, certain bool) error {
+	switch {
+	case certain:
+		return errors.Join(ErrNotDone, err)
+	case !errors.Is(err, ErrNotDone):
+		return err
+	}
+	return fmt.Errorf("the transaction may have had an effect: %s", err)
+}
+
 type commitResult struct {
 	version Version
 	err     error
 }
 
-// says reports whether the result settles the matter.
-func (r commitResult) says() bool {
+// settles reports whether the table has answered the transaction.
+func (r commitResult) settles() bool {
 	var conflict *Conflict
-	return r.err == nil || errors.As(r.err, &conflict) || errors.Is(r.err, ErrPartClosed)
+	return r.err == nil || errors.As(r.err, &conflict)
+}
+
+// unsure reports whether the try may have had an effect that nobody knows of.
+func (r commitResult) unsure() bool { return !r.settles() && !errors.Is(r.err, ErrNotDone) }
+
+// says reports whether another try at once would be of no use.
+func (r commitResult) says() bool {
+	return errors.Is(r.err, ErrPartClosed)
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -170,3 +170,25 @@
 		}
 	})
 }
+
+// TestHedgedCommitKnowsWhatWasNotDone: its error says that nothing was done only
+// when no try can have had an effect.
+func TestHedgedCommitKnowsWhatWasNotDone(t *testing.T) {
+	for first := storetest.Refused; first <= storetest.Applied; first++ {
+		synctest.Test(t, func(t *testing.T) {
+			table := storetest.New()
+			var calls atomic.Int32
+			table.SetFault(func(string, bool) storetest.Fault {
+				if calls.Add(1) == 1 {
+					return first
+				}
+				return storetest.Refused
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := store.CommitHedged(ctx, table, write("v", 0))
+			require.Error(t, err)
+			require.Equal(t, first == storetest.Refused, errors.Is(err, store.ErrNotDone), "fault %d: %v", first, err)
+		})
+	}
+}
