--- a/internal/budget/book_test.go
+++ b/internal/budget/book_test.go
@@ -232,6 +232,10 @@
 			restart(index)
 		case 1:
 			table.Release(draw)
+		case 2:
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			books[index].GiveBack(ctx)
+			cancel()
 		default:
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			most := 50 + draw(300)
