Give nothing back twice: an answer that was lost may be what has changed the row

Found by the fuzz of the book once it gave back without a restart: 2462 tokens of a budget of 2422. A give-back is sent again on another connection while its answer is awaited; if the first try had taken effect, the second is refused and shows the row with it. That was taken for somebody else's change, and the tokens were given back once more.

The specification gains transactions that are sent twice and stops that try again, and the mutant 'returned twice'; the order of transactions in flight no longer counts as part of a state.

--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -176,19 +176,18 @@
 			most = share
 		}
 	}
+	returned := 0
 	for ctx.Err() == nil {
-		returned := min(tokens, most.known.Drawn)
-		if returned == 0 {
-			return 0
-		}
-		drawn, done, err := most.commit(ctx, b.options.Store, -returned, account.homeOf())
-		tokens += drawn
-		if done {
+		wanted := min(tokens, most.known.Drawn)
+		if wanted == 0 {
 			return returned
 		}
-		if err != nil {
-			return 0
+		found, done, err := most.commit(ctx, b.options.Store, -wanted, account.homeOf())
+		returned += found.returned
+		tokens += found.drawn - found.returned
+		if done || err != nil {
+			return returned
 		}
 	}
-	return 0
+	return returned
 }
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -96,21 +96,21 @@
 			return nil
 		}
 		if left == 0 || claim.Continues && !share.seen {
-			drawn, err := share.read(ctx, b.options.Store)
+			found, err := share.read(ctx, b.options.Store)
 			if err != nil {
 				return err
 			}
-			account.add(drawn)
+			account.add(found.drawn)
 			certain = true
 			b.ask(ctx, account, tokens, inquiry)
 			continue
 		}
 		wanted := min(left, lacking+ahead(account.left(budget)-lacking, tokens))
-		drawn, done, err := share.commit(ctx, b.options.Store, wanted, account.homeOf())
+		found, done, err := share.commit(ctx, b.options.Store, wanted, account.homeOf())
 		if err != nil {
 			return err
 		}
-		account.add(drawn)
+		account.add(found.drawn)
 		if done && share.left(limit) == 0 {
 			return nil
 		}
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -145,8 +145,8 @@
 		if len(share.unsure) == 0 {
 			continue
 		}
-		if drawn, err := share.read(ctx, b.options.Store); err == nil {
-			account.add(drawn)
+		if found, err := share.read(ctx, b.options.Store); err == nil {
+			account.add(found.drawn)
 		}
 	}
 }
--- a/internal/budget/share.go
+++ b/internal/budget/share.go
@@ -28,12 +28,23 @@
 	tokens   int // negative when given back
 }
 
-// read learns the row as the table has it. drawn is what an earlier transaction
-// turns out to have drawn.
-func (s *share) read(ctx context.Context, table store.Store) (drawn int, err error) {
+// effect is what transactions turn out to have done.
+type effect struct {
+	drawn    int // tokens that are this node's now
+	returned int // tokens that are not any more
+}
+
+// add adds the effect of one change.
+func (e *effect) add(done change) {
+	e.drawn += max(0, done.tokens)
+	e.returned += max(0, -done.tokens)
+}
+
+// read learns the row as the table has it, and the effect of earlier transactions.
+func (s *share) read(ctx context.Context, table store.Store) (effect, error) {
 	page, err := table.Range(ctx, s.key.Table, s.key.Part, s.key.Name, "", 1)
 	if err != nil {
-		return 0, err
+		return effect{}, err
 	}
 	stored := store.Row{Key: s.key}
 	if len(page.Rows) > 0 && page.Rows[0].Key == s.key {
@@ -43,9 +54,10 @@
 }
 
 // commit changes what is drawn by tokens. When the row had changed, nothing
-// happens but that it is known then, and done is false. drawn is what this or an
-// earlier transaction has drawn.
-func (s *share) commit(ctx context.Context, table store.Store, tokens int, home string) (drawn int, done bool, err error) {
+// happens but that it is known then, and done is false. The effect is that of this
+// or of an earlier transaction: a try of this one whose answer was lost may be
+// what has changed the row.
+func (s *share) commit(ctx context.Context, table store.Store, tokens int, home string) (found effect, done bool, err error) {
 	next, planned := s.plan(tokens, home)
 	version, err := store.CommitHedged(ctx, table, store.Transaction{
 		Conditions: []store.Condition{{Key: s.key, Version: s.version}},
@@ -53,17 +65,18 @@
 	})
 	var refused *store.Conflict
 	if errors.As(err, &refused) {
-		drawn, err = s.learn(refused.Find(s.key))
-		return drawn, false, err
+		found, err = s.learn(refused.Find(s.key))
+		return found, false, err
 	}
 	if errors.Is(err, store.ErrNotDone) {
 		s.unsure = slices.DeleteFunc(s.unsure, func(c change) bool { return c == planned })
 	}
 	if err != nil {
-		return 0, false, err
+		return effect{}, false, err
 	}
 	s.known, s.version, s.unsure, s.seen = next, version, nil, true
-	return max(0, tokens), true, nil
+	found.add(planned)
+	return found, true, nil
 }
 
 // plan builds the row that a transaction writes. Its effect is unsure until an
@@ -88,25 +101,25 @@
 // learn takes over the row as the table has it. Of the unsure transactions the
 // one that the row shows took effect; the others were conditional on a version
 // that the row has left, so they had none and never will.
-func (s *share) learn(stored store.Row) (drawn int, err error) {
+func (s *share) learn(stored store.Row) (found effect, err error) {
 	known, err := decode(stored)
 	if err != nil {
-		return 0, err
+		return effect{}, err
 	}
 	s.seen = true
 	if stored.Version == s.version && s.version != 0 {
-		return 0, nil
+		return effect{}, nil
 	}
 	s.known, s.version = known, stored.Version
 	for _, earlier := range s.unsure {
 		if known.Holders[s.self.Process].Sequence == earlier.sequence {
-			drawn += max(0, earlier.tokens)
+			found.add(earlier)
 		}
 	}
 	if s.version != 0 {
 		s.unsure = nil
 	}
-	return drawn, nil
+	return found, nil
 }
 
 // left is what nobody has drawn, as far as this node knows.
--- a/internal/spec/account.go
+++ b/internal/spec/account.go
@@ -1,5 +1,10 @@
 package spec
 
+import (
+	"cmp"
+	"slices"
+)
+
 // This file specifies how nodes that keep nothing hold a program to its budget
 // (package budget): conditional transactions on one row, answers that are lost,
 // effects that come late, tokens handed from node to node, and nodes that die.
@@ -7,11 +12,10 @@
 // Sizes of an AccountState. A program's tokens are counted in turns: each turn
 // takes one.
 const (
-	accountNodes  = 2
-	maxInFlight   = 3
-	maxUnsure     = 3
-	turnsPerDraw  = 2 // one for the turn, one ahead
-	firstSequence = 1
+	accountNodes = 2
+	maxInFlight  = 3
+	maxUnsure    = 3
+	turnsPerDraw = 2 // one for the turn, one ahead
 )
 
 // AccountMutant is a fault seeded into the account's protocol. Zero seeds none.
@@ -28,6 +32,7 @@
 	GivenBackStays                  // tokens that were given back may still be used
 	IdentityReused                  // a restarted node goes by the name of the one that died
 	UsedIsGivenBack                 // a node gives back all that it ever drew
+	ReturnsTwice                    // a node gives back again what the row shows as given back
 )
 
 // AccountBounds limits the states that are explored.
@@ -36,6 +41,7 @@
 	Draws     int // transactions of one process
 	Crashes   int // of all nodes together
 	HandOvers int
+	Repeats   int // transactions sent a second time, on another connection
 }
 
 // accountRow is the row of the table.
@@ -56,10 +62,20 @@
 	drawn    uint8 // that it writes
 }
 
+func compareDraws(a, b draw) int {
+	return cmp.Or(
+		cmp.Compare(truth(b.used), truth(a.used)),
+		cmp.Compare(a.node, b.node),
+		cmp.Compare(a.process, b.process),
+		cmp.Compare(a.sequence, b.sequence),
+	)
+}
+
 // doubt is a transaction of unknown effect as its node remembers it.
 type doubt struct {
 	sequence uint8
-	tokens   uint8 // that it draws; 0 when it gives back
+	tokens   uint8 // that it draws
+	returns  uint8 // that it gives back
 }
 
 // accountNode is a node's process.
@@ -68,6 +84,7 @@
 	sequence uint8
 	free     uint8
 	drew     uint8 // all that it ever drew
+	leaving  uint8 // on their way back to the table
 	known    accountRow
 	waits    uint8 // sequence of the transaction that it waits for; 0: none
 	doubts   [maxUnsure]doubt
@@ -82,6 +99,7 @@
 	generated uint8
 	crashes   uint8
 	handOvers uint8
+	repeats   uint8
 }
 
 // Account is the model of the account's protocol.
@@ -104,7 +122,10 @@
 // Steps implements Model.
 func (a Account) Steps(s AccountState) []Step[AccountState] {
 	var steps []Step[AccountState]
-	add := func(action Action, next AccountState) { steps = append(steps, Step[AccountState]{action, next}) }
+	add := func(action Action, next AccountState) {
+		slices.SortFunc(next.flight[:], compareDraws) // the order of slots means nothing
+		steps = append(steps, Step[AccountState]{action, next})
+	}
 	for n := range accountNodes {
 		a.runStep(s, n, add)
 		a.drawStep(s, n, add)
@@ -112,10 +133,12 @@
 		a.giveUpStep(s, n, add)
 		a.handOverSteps(s, n, add)
 		a.stopStep(s, n, add)
+		a.returnStep(s, n, add)
 		a.accountCrashStep(s, n, add)
 	}
 	for i := range maxInFlight {
 		a.tableSteps(s, i, add)
+		a.repeatStep(s, i, add)
 	}
 	return steps
 }
--- a/internal/spec/account_steps.go
+++ b/internal/spec/account_steps.go
@@ -20,17 +20,17 @@
 		return
 	}
 	tokens := uint8(min(turnsPerDraw, left))
-	if a.send(&s, n, tokens, node.known.drawn+tokens) {
+	if a.send(&s, n, doubt{tokens: tokens}, node.known.drawn+tokens) {
 		add(Action{"%[1]d draws %[2]d", [3]int{n, int(tokens)}}, s)
 	}
 }
 
-// stopStep: node n gives back what it holds and stops.
+// stopStep: node n stops. What it holds is to go back.
 func (a Account) stopStep(s AccountState, n int, add accountAdder) {
 	node := &s.nodes[n]
-	tokens := min(node.free, node.known.drawn)
+	tokens := node.free
 	if a.Mutant == UsedIsGivenBack {
-		tokens = min(node.drew, node.known.drawn)
+		tokens = node.drew
 	}
 	if node.waits != 0 || node.stopped || tokens == 0 {
 		return
@@ -38,14 +38,36 @@
 	if a.Mutant != GivenBackStays {
 		node.free = 0
 	}
-	node.stopped = true
-	if a.send(&s, n, 0, node.known.drawn-tokens) {
+	node.stopped, node.leaving = true, tokens
+	add(Action{"%[1]d stops with %[2]d", [3]int{n, int(tokens)}}, s)
+}
+
+// returnStep: node n, which stops, sends a transaction that gives back. It does so
+// again when the row turns out to have changed without it.
+func (a Account) returnStep(s AccountState, n int, add accountAdder) {
+	node := &s.nodes[n]
+	tokens := min(node.leaving, node.known.drawn)
+	if node.waits != 0 || tokens == 0 || node.doubts != [maxUnsure]doubt{} {
+		return
+	}
+	if a.send(&s, n, doubt{returns: tokens}, node.known.drawn-tokens) {
 		add(Action{"%[1]d gives %[2]d back", [3]int{n, int(tokens)}}, s)
 	}
 }
 
+// repeatStep: the transaction in slot i is sent a second time.
+func (a Account) repeatStep(s AccountState, i int, add accountAdder) {
+	slot := freeSlot(s.flight)
+	if !s.flight[i].used || slot < 0 || int(s.repeats) >= a.Bounds.Repeats {
+		return
+	}
+	s.repeats++
+	s.flight[slot] = s.flight[i]
+	add(Action{"the transaction of %[1]d is sent again", [3]int{int(s.flight[i].node)}}, s)
+}
+
 // send puts a transaction in flight, if the bounds allow it.
-func (a Account) send(s *AccountState, n int, tokens, drawn uint8) bool {
+func (a Account) send(s *AccountState, n int, planned doubt, drawn uint8) bool {
 	node := &s.nodes[n]
 	slot, doubted := freeSlot(s.flight), freeDoubt(node.doubts)
 	if slot < 0 || doubted < 0 || int(node.sequence) >= a.Bounds.Draws {
@@ -53,7 +75,8 @@
 	}
 	node.sequence++
 	node.waits = node.sequence
-	node.doubts[doubted] = doubt{sequence: node.sequence, tokens: tokens}
+	planned.sequence = node.sequence
+	node.doubts[doubted] = planned
 	s.flight[slot] = draw{
 		used: true, node: uint8(n), process: node.process, sequence: node.sequence,
 		version: node.known.version, drawn: drawn,
@@ -156,6 +179,9 @@
 			node.free += d.tokens
 			node.drew += d.tokens
 		}
+		if d.sequence != 0 && shown && a.Mutant != ReturnsTwice {
+			node.leaving -= min(node.leaving, d.returns)
+		}
 	}
 	node.doubts = [maxUnsure]doubt{}
 }
--- a/internal/spec/account_test.go
+++ b/internal/spec/account_test.go
@@ -7,19 +7,29 @@
 	"github.com/stretchr/testify/require"
 )
 
-// accountBounds are those of every build; each state within them is visited.
-var accountBounds = AccountBounds{Budget: 2, Draws: 2, Crashes: 1, HandOvers: 1}
+// The bounds of every build; each state within them is visited.
+var (
+	deathBounds  = AccountBounds{Budget: 2, Draws: 2, Crashes: 1, HandOvers: 1}
+	repeatBounds = AccountBounds{Budget: 2, Draws: 2, HandOvers: 1, Repeats: 1}
+)
 
 func TestAccountHolds(t *testing.T) {
-	result := Search(Account{Bounds: accountBounds}, limit)
-	t.Logf("%+v: %d states, depth %d", accountBounds, result.States, result.Depth)
-	require.Empty(t, result.Violation, strings.Join(result.Trace, "\n"))
-	require.True(t, result.Complete, "the bounds do not fit the limit of states")
+	for name, bounds := range map[string]AccountBounds{"deaths": deathBounds, "repeats": repeatBounds} {
+		t.Run(name, func(t *testing.T) {
+			if *full {
+				bounds.Budget++
+			}
+			result := Search(Account{Bounds: bounds}, limit)
+			t.Logf("%+v: %d states, depth %d", bounds, result.States, result.Depth)
+			require.Empty(t, result.Violation, strings.Join(result.Trace, "\n"))
+			require.True(t, result.Complete, "the bounds do not fit the limit of states")
+		})
+	}
 }
 
 // TestAccountIsUsedUp: the model is not safe for want of doing anything.
 func TestAccountIsUsedUp(t *testing.T) {
-	result := Search(wholeBudget{Account{Bounds: accountBounds}}, limit)
+	result := Search(wholeBudget{Account{Bounds: deathBounds}}, limit)
 	require.Equal(t, "the whole budget was generated", result.Violation)
 }
 
@@ -35,18 +45,22 @@
 }
 
 func TestAccountMutantsAreCaught(t *testing.T) {
-	for name, mutant := range map[string]AccountMutant{
-		"no condition":         NoCondition,
-		"lost answer counts":   LostAnswerCounts,
-		"all unsure count":     AllUnsureCount,
-		"handed tokens stay":   HandedStays,
-		"answer counts twice":  AnswerCountsTwice,
-		"given back tokens":    GivenBackStays,
-		"identity reused":      IdentityReused,
-		"used tokens returned": UsedIsGivenBack,
+	for name, test := range map[string]struct {
+		mutant AccountMutant
+		bounds AccountBounds
+	}{
+		"no condition":         {NoCondition, deathBounds},
+		"lost answer counts":   {LostAnswerCounts, deathBounds},
+		"all unsure count":     {AllUnsureCount, deathBounds},
+		"handed tokens stay":   {HandedStays, deathBounds},
+		"answer counts twice":  {AnswerCountsTwice, deathBounds},
+		"given back tokens":    {GivenBackStays, deathBounds},
+		"identity reused":      {IdentityReused, deathBounds},
+		"used tokens returned": {UsedIsGivenBack, deathBounds},
+		"returned twice":       {ReturnsTwice, repeatBounds},
 	} {
 		t.Run(name, func(t *testing.T) {
-			result := Search(Account{Bounds: accountBounds, Mutant: mutant}, limit)
+			result := Search(Account{Bounds: test.bounds, Mutant: test.mutant}, limit)
 			require.NotEmpty(t, result.Violation, "not noticed in %d states", result.States)
 			t.Logf("%s after %d states:\n  %s", result.Violation, result.States, strings.Join(result.Trace, "\n  "))
 		})
--- a/internal/spec/spec_test.go
+++ b/internal/spec/spec_test.go
@@ -12,7 +12,7 @@
 const limit = 3_000_000
 
 // full searches the larger bounds, which take about a gigabyte.
-var full = flag.Bool("spec.full", false, "let all replicas campaign in the search of calls")
+var full = flag.Bool("spec.full", false, "let all replicas campaign in the search of calls, and search larger budgets")
 
 // The bounds of the searches. Each visits every state within them.
 var (
