--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -15,16 +15,16 @@
 // account is a program's account as this node knows it.
 type account struct {
 	program string
-	turn    chan struct{}  // held by the one who uses the shares and holders
+	turn    chan struct{}  // held by the one who uses the shares
 	shares  [shares]*share // rows of the table
-	holders []Holder       // other processes that may hold tokens, the newest last
 
-	mutex  sync.Mutex
-	free   int // held by this node and not in use
-	home   string
-	used   time.Time // when a turn last began; guarded by the book
-	spent  time.Time // when the table last said that the budget is spent
-	takers []Holder  // processes that got tokens from this one
+	mutex   sync.Mutex
+	free    int // held by this node and not in use
+	home    string
+	used    time.Time // when a turn last began; guarded by the book
+	spent   time.Time // when the table last said that the budget is spent
+	holders []Holder  // other processes that may hold tokens, the newest last
+	takers  []Holder  // of these, the ones that got tokens from this process
 }
 
 func newAccount(program string, self Holder) *account {
--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -45,9 +45,10 @@
 // Reservation is the right to generate up to Tokens.
 type Reservation struct {
 	Tokens  int
-	Home    string // worker of the program's newest turn; empty if unknown
-	Drawn   bool   // more was needed than this node held
-	Handed  bool   // another node handed tokens over
+	Home    string   // worker of the program's newest turn; empty if unknown
+	Drawn   bool     // more was needed than this node held
+	Handed  bool     // another node handed tokens over
+	Others  []Holder // processes that had turns of the program, the newest first
 	account *account
 	once    sync.Once
 }
@@ -69,7 +70,7 @@
 	account := b.account(claim.Program)
 	reservation := &Reservation{Tokens: claim.Tokens, account: account}
 	if account.take(claim.Tokens) {
-		reservation.Home = account.lastHome()
+		reservation.Home, reservation.Others = account.lastHome(), b.others(account)
 		return reservation, nil
 	}
 	var inquiry inquiry
@@ -82,6 +83,8 @@
 			"the program's budget cannot be read now: %v", err)
 	}
 	defer func() { <-account.turn }()
+	account.learnHolders()
+	reservation.Others = b.others(account)
 	reservation.Home, reservation.Drawn, reservation.Handed = account.homeOf(), true, inquiry.handed
 	return reservation, nil
 }
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -70,15 +70,26 @@
 
 // nextHolder finds one that was not asked and is not known to be silent.
 func (b *Book) nextHolder(account *account, inquiry *inquiry) (Holder, bool) {
-	for index := len(account.holders) - 1; index >= 0; index-- {
-		holder := account.holders[index]
-		if holder.Process != b.options.Self.Process && !slices.Contains(inquiry.asked, holder.Process) && !b.isSilent(holder) {
+	for _, holder := range b.others(account) {
+		if !slices.Contains(inquiry.asked, holder.Process) {
 			return holder, true
 		}
 	}
 	return Holder{}, false
 }
 
+// others lists the other processes that may hold tokens and are not known to be
+// silent, the newest first.
+func (b *Book) others(account *account) []Holder {
+	account.mutex.Lock()
+	holders := slices.Clone(account.holders)
+	account.mutex.Unlock()
+	slices.Reverse(holders)
+	return slices.DeleteFunc(holders, func(holder Holder) bool {
+		return holder.Process == b.options.Self.Process || b.isSilent(holder)
+	})
+}
+
 func (b *Book) askOne(ctx context.Context, account *account, holder Holder, lacking int, inquiry *inquiry) {
 	ctx, cancel := context.WithTimeout(ctx, askWait)
 	defer cancel()
@@ -94,9 +105,7 @@
 	}
 	account.add(answer.Tokens)
 	account.setHome(answer.Home)
-	for _, other := range answer.Others {
-		account.noteHolder(other)
-	}
+	account.noteHolders(answer.Others...)
 	inquiry.handed = inquiry.handed || answer.Tokens > 0
 }
 
@@ -161,32 +170,34 @@
 	answer := HandOverAnswer{Tokens: given, Home: a.home, Others: slices.Clone(a.takers)}
 	if given > 0 {
 		a.takers = remember(a.takers, request.From)
+		a.holders = remember(a.holders, request.From)
 	}
 	return answer
 }
 
-// noteHolder remembers a process that may hold tokens, as the newest. The caller
-// holds the turn.
-func (a *account) noteHolder(holder Holder) { a.holders = remember(a.holders, holder) }
+// noteHolders remembers processes that may hold tokens, as the newest.
+func (a *account) noteHolders(holders ...Holder) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, holder := range holders {
+		a.holders = remember(a.holders, holder)
+	}
+}
 
-// learnHolders takes over the processes that the rows name, and those that got
-// tokens from this one.
+// learnHolders takes over the processes that the rows name. The caller holds the
+// turn.
 func (a *account) learnHolders() {
 	a.mutex.Lock()
-	takers := slices.Clone(a.takers)
-	a.mutex.Unlock()
-	for _, taker := range takers {
-		a.noteHolder(taker)
-	}
+	defer a.mutex.Unlock()
 	for _, share := range a.shares {
 		for process, held := range share.known.Holders {
 			holder := Holder{Process: process, Address: held.Address}
 			if !slices.Contains(a.holders, holder) {
-				a.noteHolder(holder)
+				a.holders = remember(a.holders, holder)
 			}
 		}
 		if newest, ok := share.known.Holders[share.known.Newest]; ok {
-			a.noteHolder(Holder{Process: share.known.Newest, Address: newest.Address})
+			a.holders = remember(a.holders, Holder{Process: share.known.Newest, Address: newest.Address})
 		}
 	}
 }
--- /dev/null
+++ b/internal/forward/chain.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/history"
+)
+
+// Neighbours asks other nodes what they remember.
+type Neighbours interface {
+	// Chain returns the chain that ends with a turn; nil if the process asked does
+	// not remember all of it.
+	Chain(ctx context.Context, holder budget.Holder, turn string) ([]*history.Turn, error)
+}
+
+const (
+	// chainPatience is how long other nodes have to tell a chain before the table
+	// is asked, too; mostly they take less than the table.
+	chainPatience = 25 * time.Millisecond
+	// askChainWait is how long one node is waited for, and maxChainAsked how many
+	// are asked.
+	askChainWait  = 50 * time.Millisecond
+	maxChainAsked = 2
+)
+
+// chainResult is what came of looking for a chain. No chain and no error means
+// that other nodes do not remember it.
+type chainResult struct {
+	turns []*history.Turn
+	told  bool // by another node
+	err   error
+}
+
+// chain returns what was said before the turn: from memory, else from a node that
+// ran the program's last turns, else from the table.
+func (x *exchange) chain(ctx context.Context, holders <-chan []budget.Holder) ([]*history.Turn, error) {
+	if known := x.options.History.Known(x.request.Continue); known != nil {
+		return known, nil
+	}
+	if x.options.Neighbours == nil {
+		return x.options.History.Chain(ctx, x.request.Continue)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan chainResult, 2)
+	go func() { results <- chainResult{turns: x.askChain(ctx, holders), told: true} }()
+	read := func() {
+		turns, err := x.options.History.Chain(ctx, x.request.Continue)
+		results <- chainResult{turns: turns, err: err}
+	}
+	timer := time.NewTimer(chainPatience)
+	defer timer.Stop()
+	reading := false
+	for answered := 0; ; {
+		select {
+		case <-timer.C:
+		case result := <-results:
+			if result.turns != nil {
+				return x.learned(result), nil
+			}
+			if answered++; answered == 2 || result.err != nil {
+				return nil, result.err
+			}
+		}
+		if !reading {
+			reading = true
+			go read()
+		}
+	}
+}
+
+// learned takes over a chain that another node told, or that was read.
+func (x *exchange) learned(result chainResult) []*history.Turn {
+	if result.told {
+		x.told = true
+		x.options.History.Learn(result.turns)
+	}
+	return result.turns
+}
+
+// askChain asks other nodes; nil if none of them remembers the chain.
+func (x *exchange) askChain(ctx context.Context, holders <-chan []budget.Holder) []*history.Turn {
+	select {
+	case <-ctx.Done():
+	case known := <-holders:
+		for _, holder := range known[:min(len(known), maxChainAsked)] {
+			if chain := x.askOneChain(ctx, holder); chain != nil {
+				return chain
+			}
+		}
+	}
+	return nil
+}
+
+func (x *exchange) askOneChain(ctx context.Context, holder budget.Holder) []*history.Turn {
+	ctx, cancel := context.WithTimeout(ctx, askChainWait)
+	defer cancel()
+	chain, err := x.options.Neighbours.Chain(ctx, holder, x.request.Continue)
+	if err != nil || !isChainOf(x.request.Continue, chain) {
+		return nil
+	}
+	return chain
+}
+
+// isChainOf reports whether turns are the whole chain that ends with the one named.
+func isChainOf(id string, turns []*history.Turn) bool {
+	if len(turns) == 0 {
+		return false
+	}
+	before, last := turns[:len(turns)-1], turns[len(turns)-1]
+	return last.ID == id && slices.EqualFunc(before, last.Ancestors, func(turn *history.Turn, ancestor string) bool {
+		return turn.ID == ancestor
+	})
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,8 +24,10 @@
 	Transport Transport
 	Budgets   *budget.Book
 	History   *history.Keeper
-	Metrics   *Metrics
-	Logger    log.Interface
+	// Neighbours asks other nodes for what was said; nil: only the table is asked.
+	Neighbours Neighbours
+	Metrics    *Metrics
+	Logger     log.Interface
 }
 
 // Forwarder serves requests by the configuration in force.
@@ -92,6 +94,7 @@
 	events    int
 	drawn     bool // this node lacked tokens for the turn
 	handed    bool // and got some from another node
+	told      bool // another node told what was said before
 	started   bool // the head of a stream was sent
 	answered  bool // the client has its final answer
 	lastEvent string
--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -86,6 +86,9 @@
 	if x.handed {
 		fields["handed"] = true
 	}
+	if x.told {
+		fields["told"] = true
+	}
 	if len(x.tried) > 0 {
 		fields["tried"] = strings.Join(x.tried, ",")
 	}
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -69,6 +69,7 @@
 	waiting, cancel := context.WithTimeout(ctx, shareOfLeft(ctx, tableWaitShare, longestTableWait))
 	defer cancel()
 	group, waiting := errgroup.WithContext(waiting)
+	holders := make(chan []budget.Holder, 1)
 	if x.request.Budget > 0 && x.request.Program != "" {
 		group.Go(func() (err error) {
 			reservation, err = x.options.Budgets.Reserve(waiting, budget.Claim{
@@ -77,12 +78,18 @@
 				Tokens:    x.request.Output,
 				Continues: x.request.Continue != "",
 			})
+			if err == nil {
+				holders <- reservation.Others
+			}
 			return err
 		})
 	}
+	if x.request.Budget <= 0 || x.request.Program == "" {
+		close(holders)
+	}
 	if x.route.Retain && x.request.Continue != "" {
 		group.Go(func() (err error) {
-			chain, err = x.options.History.Chain(waiting, x.request.Continue)
+			chain, err = x.chain(waiting, holders)
 			return err
 		})
 	}
--- a/internal/forward/turn_test.go
+++ b/internal/forward/turn_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
 )
@@ -243,3 +245,78 @@
 		require.Equal(t, events(9), got.body.String())
 	})
 }
+
+// remembered is another node's memory of turns.
+type remembered struct {
+	keeper *history.Keeper
+	asked  []budget.Holder
+}
+
+// Chain implements Neighbours.
+func (r *remembered) Chain(_ context.Context, holder budget.Holder, turn string) ([]*history.Turn, error) {
+	r.asked = append(r.asked, holder)
+	return r.keeper.Known(turn), nil
+}
+
+// TestChainComesFromTheNodeThatRanIt: while the rows of turns are out of reach,
+// a program goes on at another node, which asks the one that drew its tokens.
+func TestChainComesFromTheNodeThatRanIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(retained))
+		f.worker("w", streams(2, 0))
+		program := func(id, previous string) func(*Request) {
+			return func(r *Request) {
+				r.ID, r.Body, r.Continue = id, []byte(id+";"), previous
+				r.Program, r.Budget, r.Output = "p", 10_000, 60
+			}
+		}
+		f.serve(t.Context(), program("t1", ""))
+		f.serve(t.Context(), program("t2", "t1"))
+
+		other := newFixture(t, turnRoute(retained))
+		other.worker("w", streams(2, 0))
+		other.forwarder.options.Budgets = budget.NewBook(budget.Options{Store: f.table, Self: budget.Holder{Process: "m"}})
+		neighbour := &remembered{keeper: f.forwarder.options.History}
+		other.forwarder.options.Neighbours = neighbour
+		other.table.SetFault(func(string, bool) storetest.Fault { return storetest.Silent }) // of turns
+		other.forwarder.options.History = newHistory(other.table)
+		other.serve(t.Context(), program("t3", "t2"))
+		require.Equal(t, "t1;t1\nt2\nt2;t1\nt2\nt3;", other.sent()[0].body)
+		require.Equal(t, "n", neighbour.asked[0].Process)
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestChainThatNoNodeRemembersIsRead, and a node that answers with another chain
+// is not believed.
+func TestChainThatNoNodeRemembersIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, turnRoute(retained))
+		f.worker("w", streams(2, 0))
+		claim := func(id, previous string) func(*Request) {
+			return func(r *Request) {
+				r.ID, r.Body, r.Continue = id, []byte(id+";"), previous
+				r.Program, r.Budget, r.Output = "p", 10_000, 60
+			}
+		}
+		f.serve(t.Context(), claim("t1", ""))
+		for _, memory := range []*history.Keeper{newHistory(f.table), f.forwarder.options.History} {
+			other := newFixture(t, turnRoute(retained))
+			other.worker("w", streams(2, 0))
+			other.forwarder.options.Budgets = budget.NewBook(budget.Options{Store: f.table, Self: budget.Holder{Process: "m"}})
+			other.forwarder.options.Neighbours = &mistaken{remembered{keeper: memory}}
+			other.forwarder.options.History = newHistory(f.table)
+			other.serve(t.Context(), claim("t2", "t1"))
+			require.Equal(t, "t1;t1\nt2\nt2;", other.sent()[0].body)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// mistaken answers with the chain of another turn.
+type mistaken struct{ remembered }
+
+// Chain implements Neighbours.
+func (m *mistaken) Chain(context.Context, budget.Holder, string) ([]*history.Turn, error) {
+	return []*history.Turn{{ID: "another", Output: []byte("another program's\n")}}, nil
+}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -99,6 +99,30 @@
 	return chain, group.Wait()
 }
 
+// Known returns a chain if this node remembers all of it, else nil. No call is made.
+func (k *Keeper) Known(id string) []*Turn {
+	last := k.lookUp(id)
+	if last == nil {
+		return nil
+	}
+	chain := make([]*Turn, 0, len(last.Ancestors)+1)
+	for _, ancestor := range last.Ancestors {
+		known := k.lookUp(ancestor)
+		if known == nil {
+			return nil
+		}
+		chain = append(chain, known)
+	}
+	return append(chain, last)
+}
+
+// Learn remembers a chain that another node has read or written.
+func (k *Keeper) Learn(chain []*Turn) {
+	for _, turn := range chain {
+		k.remember(turn)
+	}
+}
+
 func (k *Keeper) turn(ctx context.Context, id string) (*Turn, error) {
 	if known := k.lookUp(id); known != nil {
 		return known, nil
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -7,11 +7,18 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/forward"
+	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
 )
 
-// methodHandOver asks a node for tokens of a program that it does not use.
-const methodHandOver = "budget.hand_over"
+// Methods of nodes.
+const (
+	// methodHandOver asks a node for tokens of a program that it does not use.
+	methodHandOver = "budget.hand_over"
+	// methodChain asks a node for what was said up to a turn.
+	methodChain = "history.chain"
+)
 
 // peerKey keeps strangers of other systems out. It is no secret: what a node hands
 // over it hands to those who can name its process, and only the table tells that.
@@ -21,8 +28,9 @@
 	peerDialTimeout = 100 * time.Millisecond
 	// peerIdleTimeout is how long an unused connection to another node is kept.
 	peerIdleTimeout = 4 * time.Second
-	// maxPeerMessage bounds a message between nodes, in bytes.
-	maxPeerMessage = 16 << 10
+	// maxPeerRequest and maxPeerAnswer bound messages between nodes, in bytes.
+	maxPeerRequest = 16 << 10
+	maxPeerAnswer  = 4 << 20
 )
 
 // PeerNetwork carries messages between nodes in place of TCP.
@@ -46,8 +54,8 @@
 	p := &peers{address: address, network: network, mux: peer.NewMux()}
 	p.options = peer.Options{
 		Keys:        peer.NewKeys(peerKey),
-		MaxRequest:  maxPeerMessage,
-		MaxResponse: maxPeerMessage,
+		MaxRequest:  maxPeerRequest,
+		MaxResponse: maxPeerAnswer,
 		DialTimeout: peerDialTimeout,
 		IdleTimeout: peerIdleTimeout,
 	}
@@ -67,14 +75,41 @@
 	return budgetPeers{p.transport}
 }
 
-// serve answers other nodes by the book until ctx ends.
-func (p *peers) serve(ctx context.Context, group *errgroup.Group, s *Server, book *budget.Book) error {
+// neighbours returns how chains are asked for; nil if they are not.
+func (p *peers) neighbours() forward.Neighbours {
 	if p.address == "" {
 		return nil
 	}
+	return neighbours{p.transport}
+}
+
+// chainRequest asks for the chain that ends with a turn.
+type chainRequest struct {
+	Process string // that is asked
+	Turn    string
+}
+
+// chainAnswer is the chain, the oldest turn first; empty if it is not remembered.
+type chainAnswer struct{ Turns []*history.Turn }
+
+// handle sets what other nodes are answered.
+func (p *peers) handle(process string, book *budget.Book, keeper *history.Keeper) {
 	peer.Handle(p.mux, methodHandOver, func(ctx context.Context, request budget.HandOverRequest) (budget.HandOverAnswer, error) {
 		return book.HandOver(ctx, request), nil
 	})
+	peer.Handle(p.mux, methodChain, func(_ context.Context, request chainRequest) (chainAnswer, error) {
+		if request.Process != process {
+			return chainAnswer{}, nil
+		}
+		return chainAnswer{Turns: keeper.Known(request.Turn)}, nil
+	})
+}
+
+// serve answers other nodes until ctx ends.
+func (p *peers) serve(ctx context.Context, group *errgroup.Group, s *Server) {
+	if p.address == "" {
+		return
+	}
 	if p.network != nil {
 		p.network.Attach(peer.Address(p.address), p.mux)
 		group.Go(func() error {
@@ -82,16 +117,16 @@
 			p.network.Attach(peer.Address(p.address), nil)
 			return nil
 		})
-		return nil
+		return
 	}
 	listener, err := s.options.Listen(p.address)
 	if err != nil {
-		return err
+		s.options.Logger.WithError(err).WithField("address", p.address).Error("other nodes cannot ask this one; free the port and restart")
+		return
 	}
 	server := peer.NewServer(p.options, p.mux)
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	group.Go(func() error { return server.Serve(listener) })
-	return nil
 }
 
 // budgetPeers implements budget.Peers over messages between nodes.
@@ -101,3 +136,13 @@
 func (p budgetPeers) HandOver(ctx context.Context, address string, request budget.HandOverRequest) (budget.HandOverAnswer, error) {
 	return peer.Invoke[budget.HandOverAnswer](ctx, p.transport, peer.Address(address), methodHandOver, request)
 }
+
+// neighbours implements forward.Neighbours over messages between nodes.
+type neighbours struct{ transport peer.Transport }
+
+// Chain implements forward.Neighbours.
+func (n neighbours) Chain(ctx context.Context, holder budget.Holder, turn string) ([]*history.Turn, error) {
+	request := chainRequest{Process: holder.Process, Turn: turn}
+	answer, err := peer.Invoke[chainAnswer](ctx, n.transport, peer.Address(holder.Address), methodChain, request)
+	return answer.Turns, err
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -116,6 +116,8 @@
 		Self:  budget.Holder{Process: options.Process, Address: options.Settings.Peers},
 		Peers: peers.budgets(),
 	})
+	keeper := history.New(history.Options{Store: table, CacheBytes: int(options.Settings.MemoryBytes / memoryForHistory)})
+	peers.handle(options.Process, budgets, keeper)
 	return &Server{
 		options: options,
 		workers: workers,
@@ -128,12 +130,13 @@
 			Logger: options.Logger,
 		}),
 		forwarder: forward.New(forward.Options{
-			Workers:   workers,
-			Transport: options.Transport,
-			Budgets:   budgets,
-			History:   history.New(history.Options{Store: table, CacheBytes: int(options.Settings.MemoryBytes / memoryForHistory)}),
-			Metrics:   options.Metrics.Requests,
-			Logger:    options.Logger,
+			Workers:    workers,
+			Transport:  options.Transport,
+			Budgets:    budgets,
+			History:    keeper,
+			Neighbours: peers.neighbours(),
+			Metrics:    options.Metrics.Requests,
+			Logger:     options.Logger,
 		}),
 	}
 }
@@ -199,9 +202,7 @@
 	if err := s.serve(group, ready, s.options.Settings.Ready); err != nil {
 		return err
 	}
-	if err := s.peers.serve(ctx, group, s, s.budgets); err != nil {
-		return err
-	}
+	s.peers.serve(ctx, group, s)
 	metrics := &http.Server{Handler: s.options.Metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	if address := s.options.Settings.Metrics; address != "" {
 		if err := s.serve(group, metrics, address); err != nil {
