While the table is out of reach, a node asks those that it has met for a program's tokens

A node now remembers up to 32 processes that it met over any program and asks up to 16 of them at once, at most 10 times a second.

Tests: TestNodeThatDoesNotKnowTheProgramAsksAround, TestAskingAroundIsBounded.

--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/store"
@@ -34,12 +35,20 @@
 	mutex    sync.Mutex
 	accounts map[string]*account
 	silent   map[string]time.Time // processes that did not answer
+	nodes    []Holder             // processes met lately, the newest last
+	around   *rate.Limiter        // of asking all of them
 	swept    time.Time
 }
 
 // NewBook returns an empty book.
 func NewBook(options Options) *Book {
-	return &Book{options: options, accounts: map[string]*account{}, silent: map[string]time.Time{}, swept: time.Now()}
+	return &Book{
+		options:  options,
+		accounts: map[string]*account{},
+		silent:   map[string]time.Time{},
+		swept:    time.Now(),
+		around:   rate.NewLimiter(aroundPerSecond, aroundPerSecond),
+	}
 }
 
 // Reservation is the right to generate up to Tokens.
@@ -61,6 +70,9 @@
 	// Continues says that the program has had a turn: its rows are there then, and
 	// reading them first spares the table a transaction that it would refuse.
 	Continues bool
+	// Kept says that the turn cannot end without the table. It is not worth
+	// running, then, while that is out of reach.
+	Kept bool
 }
 
 // Reserve reserves the tokens of a claim. It fails with fault.BudgetExhausted
--- a/internal/budget/book_test.go
+++ b/internal/budget/book_test.go
@@ -427,3 +427,69 @@
 		})
 	}
 }
+
+// TestNodeThatDoesNotKnowTheProgramAsksAround: while the table is down, a program
+// goes on at a node that has never heard of it, but of the node that had it.
+func TestNodeThatDoesNotKnowTheProgramAsksAround(t *testing.T) {
+	for _, down := range []storetest.Fault{storetest.Silent, storetest.Refused, storetest.Broken} {
+		synctest.Test(t, func(t *testing.T) {
+			table := storetest.New()
+			nodes := newCluster(table)
+			claim := Claim{Program: "p", Budget: 60_000, Tokens: 500}
+			a, b := nodes.book("a"), nodes.book("b")
+			for _, program := range []string{"p", "q", "other"} {
+				claim.Program = program
+				reservation, err := a.Reserve(t.Context(), claim)
+				require.NoError(t, err)
+				reservation.Settle(100, "w7")
+			}
+			_, err := b.Reserve(t.Context(), claim) // they meet over another program
+			require.NoError(t, err)
+			table.SetFault(func(string, bool) storetest.Fault { return down })
+			claim.Program = "p"
+			ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+			defer cancel()
+			begun := time.Now()
+			reservation, err := b.Reserve(ctx, claim)
+			require.NoError(t, err)
+			require.Equal(t, "w7", reservation.Home)
+			require.Equal(t, "a", reservation.Others[0].Process)
+			require.Less(t, time.Since(begun), 200*time.Millisecond)
+
+			claim.Program = "q"
+			for _, kept := range []bool{true, false} {
+				claim.Kept = kept // then its turn would run in vain
+				ctx, cancel = context.WithTimeout(t.Context(), 900*time.Millisecond)
+				defer cancel()
+				_, err = b.Reserve(ctx, claim)
+				require.Equal(t, kept, fault.Is(err, fault.Unavailable), err)
+			}
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// TestAskingAroundIsBounded: a node in trouble does not drown the others.
+func TestAskingAroundIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		nodes := newCluster(table)
+		one := nodes.book("one")
+		for node := range 100 {
+			one.meet(Holder{Process: fmt.Sprint(node), Address: fmt.Sprint(node)})
+		}
+		table.SetFault(func(string, bool) storetest.Fault { return storetest.Refused })
+		for turn := range 100 {
+			go func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+				defer cancel()
+				_, _ = one.Reserve(ctx, Claim{Program: fmt.Sprint("p", turn), Budget: 60_000, Tokens: 500})
+			}()
+		}
+		time.Sleep(time.Second)
+		nodes.mutex.Lock()
+		defer nodes.mutex.Unlock()
+		require.Positive(t, nodes.asks)
+		require.LessOrEqual(t, nodes.asks, 2*aroundPerSecond*maxAround)
+	})
+}
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -65,6 +65,9 @@
 		cancel()
 		if err != nil {
 			failure = err
+			if !claim.Kept {
+				b.askAround(ctx, account, tokens, inquiry)
+			}
 		}
 		if account.take(tokens) {
 			return true, nil
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Holder is a process that may hold tokens of a program.
@@ -42,12 +45,19 @@
 	// account remembers.
 	maxAsked   = 4
 	maxHolders = 8
+	// maxNodes is how many processes a node remembers to have met, and maxAround
+	// how many of them it asks at once when the table is out of reach.
+	maxNodes  = 32
+	maxAround = 16
+	// aroundPerSecond bounds how often it does so.
+	aroundPerSecond = 10
 )
 
 // inquiry is one turn's asking around.
 type inquiry struct {
 	asked  []string // processes
 	handed bool     // tokens came of it
+	around bool     // all nodes met lately were asked
 }
 
 // ask asks the nodes that may hold tokens of the program, the newest first, until
@@ -57,6 +67,7 @@
 		return
 	}
 	account.learnHolders()
+	b.meet(account.known()...)
 	for len(inquiry.asked) < maxAsked && ctx.Err() == nil {
 		lacking := account.lacks(tokens)
 		holder, found := b.nextHolder(account, inquiry)
@@ -64,10 +75,59 @@
 			return
 		}
 		inquiry.asked = append(inquiry.asked, holder.Process)
-		b.askOne(ctx, account, holder, lacking, inquiry)
+		if b.askOne(ctx, account, holder, lacking) {
+			inquiry.handed = true
+		}
+	}
+}
+
+// askAround asks the nodes met lately, all at once, when the table does not say
+// which of them had the program: programs under way go on while it is down.
+func (b *Book) askAround(ctx context.Context, account *account, tokens int, inquiry *inquiry) {
+	lacking := account.lacks(tokens)
+	if b.options.Peers == nil || inquiry.around || lacking <= 0 || !b.around.Allow() {
+		return
+	}
+	inquiry.around = true
+	var handed atomic.Bool
+	var group errgroup.Group
+	for _, holder := range b.met(inquiry.asked) {
+		inquiry.asked = append(inquiry.asked, holder.Process)
+		group.Go(func() error {
+			if b.askOne(ctx, account, holder, lacking) {
+				handed.Store(true)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	inquiry.handed = inquiry.handed || handed.Load()
+}
+
+// meet remembers other processes.
+func (b *Book) meet(holders ...Holder) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, holder := range holders {
+		if holder.Process != b.options.Self.Process {
+			b.nodes = remember(b.nodes, holder, maxNodes)
+		}
 	}
 }
 
+// met lists the processes met lately, but those asked already and those that are
+// silent, the newest first.
+func (b *Book) met(asked []string) []Holder {
+	b.mutex.Lock()
+	nodes := slices.Clone(b.nodes)
+	b.mutex.Unlock()
+	slices.Reverse(nodes)
+	nodes = slices.DeleteFunc(nodes, func(holder Holder) bool {
+		return slices.Contains(asked, holder.Process) || b.isSilent(holder)
+	})
+	return nodes[:min(len(nodes), maxAround)]
+}
+
 // nextHolder finds one that was not asked and is not known to be silent.
 func (b *Book) nextHolder(account *account, inquiry *inquiry) (Holder, bool) {
 	for _, holder := range b.others(account) {
@@ -81,16 +141,15 @@
 // others lists the other processes that may hold tokens and are not known to be
 // silent, the newest first.
 func (b *Book) others(account *account) []Holder {
-	account.mutex.Lock()
-	holders := slices.Clone(account.holders)
-	account.mutex.Unlock()
+	holders := account.known()
 	slices.Reverse(holders)
 	return slices.DeleteFunc(holders, func(holder Holder) bool {
 		return holder.Process == b.options.Self.Process || b.isSilent(holder)
 	})
 }
 
-func (b *Book) askOne(ctx context.Context, account *account, holder Holder, lacking int, inquiry *inquiry) {
+// askOne asks one node. It reports whether that handed tokens over.
+func (b *Book) askOne(ctx context.Context, account *account, holder Holder, lacking int) bool {
 	ctx, cancel := context.WithTimeout(ctx, askWait)
 	defer cancel()
 	answer, err := b.options.Peers.HandOver(ctx, holder.Address, HandOverRequest{
@@ -101,12 +160,16 @@
 	})
 	if err != nil {
 		b.noteSilent(holder)
-		return
+		return false
 	}
 	account.add(answer.Tokens)
 	account.setHome(answer.Home)
 	account.noteHolders(answer.Others...)
-	inquiry.handed = inquiry.handed || answer.Tokens > 0
+	if answer.Tokens == 0 {
+		return false
+	}
+	account.noteHolders(holder)
+	return true
 }
 
 func (b *Book) isSilent(holder Holder) bool {
@@ -127,6 +190,7 @@
 	if request.Process != b.options.Self.Process || request.Tokens <= 0 {
 		return HandOverAnswer{}
 	}
+	b.meet(request.From)
 	b.mutex.Lock()
 	account, ok := b.accounts[request.Program]
 	b.mutex.Unlock()
@@ -169,18 +233,25 @@
 	a.free -= given
 	answer := HandOverAnswer{Tokens: given, Home: a.home, Others: slices.Clone(a.takers)}
 	if given > 0 {
-		a.takers = remember(a.takers, request.From)
-		a.holders = remember(a.holders, request.From)
+		a.takers = remember(a.takers, request.From, maxHolders)
+		a.holders = remember(a.holders, request.From, maxHolders)
 	}
 	return answer
 }
 
+// known lists the processes that may hold tokens, the newest last.
+func (a *account) known() []Holder {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return slices.Clone(a.holders)
+}
+
 // noteHolders remembers processes that may hold tokens, as the newest.
 func (a *account) noteHolders(holders ...Holder) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for _, holder := range holders {
-		a.holders = remember(a.holders, holder)
+		a.holders = remember(a.holders, holder, maxHolders)
 	}
 }
 
@@ -193,19 +264,19 @@
 		for process, held := range share.known.Holders {
 			holder := Holder{Process: process, Address: held.Address}
 			if !slices.Contains(a.holders, holder) {
-				a.holders = remember(a.holders, holder)
+				a.holders = remember(a.holders, holder, maxHolders)
 			}
 		}
 		if newest, ok := share.known.Holders[share.known.Newest]; ok {
-			a.holders = remember(a.holders, Holder{Process: share.known.Newest, Address: newest.Address})
+			a.holders = remember(a.holders, Holder{Process: share.known.Newest, Address: newest.Address}, maxHolders)
 		}
 	}
 }
 
-// remember puts a holder at the end of a short list.
-func remember(list []Holder, holder Holder) []Holder {
+// remember puts a holder at the end of a list of at most so many.
+func remember(list []Holder, holder Holder, most int) []Holder {
 	list = slices.DeleteFunc(list, func(known Holder) bool { return known == holder })
-	if len(list) == maxHolders {
+	if len(list) == most {
 		list = slices.Delete(list, 0, 1)
 	}
 	return append(list, holder)
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -77,6 +77,7 @@
 				Budget:    x.request.Budget,
 				Tokens:    x.request.Output,
 				Continues: x.request.Continue != "",
+				Kept:      x.route.Retain,
 			})
 			if err == nil {
 				holders <- reservation.Others
