Tokens handed over in an answer that is lost come with the next request

Trace: at 37.8 s one node draws 300 while two thirds of the shares fail; at 38.5 s a second asks it for them, waits its 40 ms on a machine of a tenth of a core that has just started, and says 402 (ms=56, 46): the tokens had left the first node and never reached the second.

A request now has a number; one that got no answer is repeated by it, and the giver answers the same number with the same tokens. TestAnswerThatIsLostIsAskedForAgain fails without the change.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -25,6 +25,9 @@
 	spent   time.Time // when the table last said that the budget is spent
 	holders []Holder  // other processes that may hold tokens, the newest last
 	takers  []Holder  // of these, the ones that got tokens from this process
+
+	given      map[string]handed // by asking process: the newest answer
+	unanswered map[string]uint64 // by process asked: the number of a request without an answer
 }
 
 func newAccount(program string, self Holder) *account {
--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -37,6 +38,7 @@
 	silent   map[string]time.Time // processes that did not answer
 	nodes    []Holder             // processes met lately, the newest last
 	around   *rate.Limiter        // of asking all of them
+	asks     atomic.Uint64        // requests to other nodes
 	swept    time.Time
 }
 
--- a/internal/budget/book_test.go
+++ b/internal/budget/book_test.go
@@ -493,3 +493,30 @@
 		require.LessOrEqual(t, nodes.asks, 2*aroundPerSecond*maxAround)
 	})
 }
+
+// TestAnswerThatIsLostIsAskedForAgain: tokens that were handed over and did not
+// arrive come with the next request, once.
+func TestAnswerThatIsLostIsAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newCluster(storetest.New())
+		a, b := nodes.book("a"), nodes.book("b")
+		reservation, err := a.Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 589})
+		require.NoError(t, err)
+		reservation.Settle(0, "")
+		nodes.fate = func() (asked, answered bool) { return true, false }
+		_, err = b.Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 589})
+		require.Error(t, err)
+		nodes.mutex.Lock()
+		nodes.fate = nil
+		nodes.mutex.Unlock()
+		time.Sleep(2 * time.Second)
+		reservation, err = b.Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 589})
+		require.NoError(t, err, "no turn has run")
+		reservation.Settle(589, "")
+		_, err = b.Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 312})
+		require.True(t, fault.Is(err, fault.BudgetExhausted), err)
+		time.Sleep(2 * time.Second)
+		_, err = b.Reserve(t.Context(), Claim{Program: "p", Budget: 900, Tokens: 311})
+		require.NoError(t, err, "all that is left")
+	})
+}
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -21,10 +21,14 @@
 	Program string
 	Tokens  int
 	From    Holder
+	// Number tells this request from all others of the asker. One that got no
+	// answer is asked again by the same number, and brings the same tokens.
+	Number uint64
 }
 
-// HandOverAnswer brings tokens. They are the asker's from now on, and lost to the
-// program if the answer does not arrive: too little is spent then, never too much.
+// HandOverAnswer brings tokens. They are the asker's from now on. If the answer
+// does not arrive, they wait for the request to be repeated; if either process
+// dies first they are lost to the program: too little is spent then, never too much.
 type HandOverAnswer struct {
 	Tokens int
 	Home   string   // worker of the program's newest turn at the process asked; empty if unknown
@@ -157,11 +161,13 @@
 		Program: account.program,
 		Tokens:  lacking,
 		From:    b.options.Self,
+		Number:  account.numberFor(holder, b.asks.Add(1)),
 	})
 	if err != nil {
 		b.noteSilent(holder)
 		return false
 	}
+	account.answered(holder)
 	account.add(answer.Tokens)
 	account.setHome(answer.Home)
 	account.noteHolders(answer.Others...)
@@ -229,6 +235,9 @@
 func (a *account) handOver(request HandOverRequest) HandOverAnswer {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if last, ok := a.given[request.From.Process]; ok && last.number == request.Number {
+		return last.answer
+	}
 	given := min(a.free, request.Tokens+max(0, a.free-request.Tokens)/2)
 	a.free -= given
 	answer := HandOverAnswer{Tokens: given, Home: a.home, Others: slices.Clone(a.takers)}
@@ -236,9 +245,41 @@
 		a.takers = remember(a.takers, request.From, maxHolders)
 		a.holders = remember(a.holders, request.From, maxHolders)
 	}
+	if a.given == nil {
+		a.given = map[string]handed{}
+	}
+	a.given[request.From.Process] = handed{number: request.Number, answer: answer}
 	return answer
 }
 
+// handed is the newest answer to a process.
+type handed struct {
+	number uint64
+	answer HandOverAnswer
+}
+
+// numberFor is the number of a request to a holder: that of the last one, if it
+// got no answer, else the one given.
+func (a *account) numberFor(holder Holder, next uint64) uint64 {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if number, ok := a.unanswered[holder.Process]; ok {
+		return number
+	}
+	if a.unanswered == nil {
+		a.unanswered = map[string]uint64{}
+	}
+	a.unanswered[holder.Process] = next
+	return next
+}
+
+// answered notes that a holder has answered.
+func (a *account) answered(holder Holder) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	delete(a.unanswered, holder.Process)
+}
+
 // known lists the processes that may hold tokens, the newest last.
 func (a *account) known() []Holder {
 	a.mutex.Lock()
