--- a/internal/store/hedge.go
+++ b/internal/store/hedge.go
@@ -35,8 +35,8 @@
 // CommitHedged commits a transaction whose effect its caller can recognise in
 // the rows of a Conflict. While no try has answered, it sends the same
 // transaction again on another connection, and takes the first answer that says
-// anything; that a part is closed is such an answer. It gives up when ctx ends. Its error is ErrNotDone only if no try
-// can have had an effect.
+// anything; that a part is closed is such an answer. It gives up when ctx ends.
+// Its error is ErrNotDone only if no try can have had an effect.
 func CommitHedged(ctx context.Context, table Store, transaction Transaction) (Version, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
