Wait as long as a breaker may take to open before the test asks

An idle engine is polled each 2 s, then each 250 ms while it fails, and three failures open the breaker: 2.55 s at the worst; the test waited 2 s, so the phase of the polls decided. No fault of the product. Ruled out: a success that closes the breaker (failures stood at 2, openings at 0), a probe that was not answered. The test now waits for the bound itself, worked out from the options, asserts that the Core is blocked then (it did not before), and reads both states under their locks.

--- a/internal/worker/fixture_test.go
+++ b/internal/worker/fixture_test.go
@@ -308,6 +308,17 @@
 	f.placers[m.Node] = NewPlacer(PlacerOptions{View: view, Catalog: catalog, Transport: transport})
 }
 
+// blocked reports whether a breaker keeps new calls from a worker that a node owns.
+func (f *fixture) blocked(node id.Node, worker id.Worker) bool {
+	service := f.services[node]
+	service.mutex.Lock()
+	owner := service.owners[worker]
+	service.mutex.Unlock()
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	return owner.core.blocked
+}
+
 // settle lets polls and reconciliation come round a few times.
 func settle() { time.Sleep(2 * time.Second) }
 
--- a/internal/worker/service_test.go
+++ b/internal/worker/service_test.go
@@ -123,6 +123,13 @@
 	})
 }
 
+// breakerOpensWithin is the longest time from an idle engine's first failure until
+// no call goes there: the poll that is due, the further ones that open the
+// breaker, the tick that tells the Core, and a moment to be past them all.
+func breakerOpensWithin(options Options) time.Duration {
+	return options.IdlePoll + (breakerThreshold-1)*options.Poll + options.Tick + time.Millisecond
+}
+
 func TestBreakerKeepsCallsFromFailingEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 1, 2, 1)
@@ -130,7 +137,8 @@
 		broken.mutex.Lock()
 		broken.failure = fault.New(fault.Unavailable, "connection refused", "restart the engine")
 		broken.mutex.Unlock()
-		settle()
+		time.Sleep(breakerOpensWithin(f.services["n0"].options))
+		require.True(t, f.blocked("n0", "w0"))
 		for index := range 10 {
 			location, _, err := f.call("n0", id.Program(fmt.Sprintf("p-%d", index)), 1, 1)
 			require.NoError(t, err)
@@ -144,7 +152,7 @@
 		location, err := f.placers["n0"].Place(t.Context(), ProbeRequest{Model: job.Model, Prefix: job.Prefix}, []id.Worker{"w1"})
 		require.NoError(t, err)
 		require.Equal(t, id.Worker("w0"), location.Worker)
-		require.False(t, f.services["n0"].owners["w0"].core.blocked)
+		require.False(t, f.blocked("n0", "w0"))
 		_, err = f.submit("n0", location, job)
 		require.NoError(t, err, "the engine is used again once it answers")
 		f.stopAll()
