A chain of which a turn could not be read is no chain

Cause: history.Keeper.Chain returned its slice with gaps beside its error, and forward's chain took any slice for an answer; a retained turn at a node whose neighbours did not know the chain, with one ancestor's places unreadable, ended in a nil pointer, which net/http turns into a broken connection: neither an answer nor a refusal, and its tokens stayed reserved. Ruled out: a race of prepare's two goroutines (group.Wait orders them).

--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -96,7 +96,10 @@
 			return err
 		})
 	}
-	return chain, group.Wait()
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return chain, nil
 }
 
 // Known returns a chain if this node remembers all of it, else nil. No call is made.
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,6 +87,32 @@
 	})
 }
 
+// TestChainThatIsNotReadWholeIsNone: an ancestor that cannot be read leaves no gap
+// in a chain that its caller might take for whole.
+func TestChainThatIsNotReadWholeIsNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		require.NoError(t, keeper(table).Keep(t.Context(), turn("a"), nil, time.Minute))
+		require.NoError(t, keeper(table).Keep(t.Context(), turn("next", "a"), nil, time.Minute))
+		var down []string
+		for place := range places {
+			down = append(down, partOf("a", place))
+			require.NotContains(t, down, partOf("next", place), "the turn itself can be read")
+		}
+		table.SetFault(func(part string, _ bool) storetest.Fault {
+			if slices.Contains(down, part) {
+				return storetest.Refused
+			}
+			return storetest.None
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		chain, err := keeper(table).Chain(ctx, "next")
+		require.Error(t, err)
+		require.Nil(t, chain)
+	})
+}
+
 func TestCacheIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := storetest.New()
