--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -190,7 +190,7 @@
 	for _, share := range account.shares {
 		found := share.giveBack(ctx, b.options.Store, tokens, account.homeOf())
 		returned += found.returned
-		tokens += found.drawn - found.returned
+		tokens += found.drawn - found.returned - found.doubtful
 	}
 	return returned
 }
--- a/internal/budget/share.go
+++ b/internal/budget/share.go
@@ -32,6 +32,7 @@
 type effect struct {
 	drawn    int // tokens that are this node's now
 	returned int // tokens that are not any more
+	doubtful int // tokens that may have been returned
 }
 
 // add adds the effect of one change.
@@ -79,7 +80,8 @@
 	return found, true, nil
 }
 
-// giveBack gives back up to so many tokens.
+// giveBack gives back up to so many tokens. Those whose return is in doubt at its
+// end must not be given back to another share.
 func (s *share) giveBack(ctx context.Context, table store.Store, tokens int, home string) (total effect) {
 	for ctx.Err() == nil {
 		wanted := min(tokens-total.returned, s.known.Drawn)
@@ -89,6 +91,9 @@
 		found, done, err := s.commit(ctx, table, -wanted, home)
 		total.drawn += found.drawn
 		total.returned += found.returned
+		if err != nil {
+			total.doubtful = s.doubtful()
+		}
 		if done || err != nil {
 			return total
 		}
@@ -96,6 +101,14 @@
 	return total
 }
 
+// doubtful is how many tokens transactions of unknown effect may have returned.
+func (s *share) doubtful() (tokens int) {
+	for _, earlier := range s.unsure {
+		tokens += max(0, -earlier.tokens)
+	}
+	return tokens
+}
+
 // plan builds the row that a transaction writes. Its effect is unsure until an
 // answer is there.
 func (s *share) plan(tokens int, home string) (row, change) {
