--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -4,7 +4,9 @@
 // generate is drawn from a share by a conditional transaction, so what all nodes
 // have drawn together never exceeds the budget. A node that lacks tokens asks the
 // nodes that hold some before it draws more. One that dies strands what it had
-// drawn and not used: too little is spent then, never too much.
+// drawn and not used; so that the program can go on, one turn may then reach past
+// the budget. All turns together generate less than the budget and the most of one
+// turn, which is the bound that the association's pages set.
 package budget
 
 import (
@@ -124,7 +126,7 @@
 	recent := time.Since(a.spent) < spentFor
 	a.mutex.Unlock()
 	left := a.left(budget)
-	if !recent || left >= tokens {
+	if !recent || left >= tokens || a.shares[elasticShare].left(limitOf(budget, elasticShare)) > 0 {
 		return nil
 	}
 	return spentError(left, budget, tokens)
--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -35,10 +35,10 @@
 	options  Options
 	mutex    sync.Mutex
 	accounts map[string]*account
-	silent   map[string]time.Time // processes that did not answer
-	nodes    []Holder             // processes met lately, the newest last
-	around   *rate.Limiter        // of asking all of them
-	asks     atomic.Uint64        // requests to other nodes
+	silent   map[string]silence // processes that did not answer
+	nodes    []Holder           // processes met lately, the newest last
+	around   *rate.Limiter      // of asking all of them
+	asks     atomic.Uint64      // requests to other nodes
 	swept    time.Time
 }
 
@@ -47,7 +47,7 @@
 	return &Book{
 		options:  options,
 		accounts: map[string]*account{},
-		silent:   map[string]time.Time{},
+		silent:   map[string]silence{},
 		swept:    time.Now(),
 		around:   rate.NewLimiter(aroundPerSecond, aroundPerSecond),
 	}
@@ -78,8 +78,9 @@
 }
 
 // Reserve reserves the tokens of a claim. It fails with fault.BudgetExhausted
-// when the table says that they are not left, and with fault.Unavailable when it
-// says nothing before ctx ends; nothing is reserved then.
+// when the table says that the budget is used up, and with fault.Unavailable when
+// it says nothing before ctx ends, or a node that may hold tokens does not answer;
+// nothing is reserved then.
 func (b *Book) Reserve(ctx context.Context, claim Claim) (*Reservation, error) {
 	account := b.account(claim.Program)
 	reservation := &Reservation{Tokens: claim.Tokens, account: account}
@@ -138,8 +139,8 @@
 			delete(b.accounts, program)
 		}
 	}
-	for process, since := range b.silent {
-		if now.Sub(since) > silentFor {
+	for process, known := range b.silent {
+		if now.Sub(known.until) > forgetAfter {
 			delete(b.silent, process)
 		}
 	}
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
@@ -23,6 +24,9 @@
 	roundPause = 50 * time.Millisecond
 )
 
+// errHolderSilent says that what lacks may be held by a node that does not answer.
+var errHolderSilent = errors.New("a node that may hold the program's tokens does not answer")
+
 // draw gets what this node lacks for a turn, from other nodes or the table, and
 // takes the turn's tokens. If it succeeds, the caller holds the account's turn.
 func (b *Book) draw(ctx context.Context, account *account, claim Claim, inquiry *inquiry) error {
@@ -36,7 +40,7 @@
 		if taken {
 			return nil
 		}
-		if err != nil && !fault.Is(err, fault.BudgetExhausted) && wait.For(ctx, roundPause) == nil {
+		if err != nil && !final(err) && wait.For(ctx, roundPause) == nil {
 			continue
 		}
 		<-account.turn
@@ -47,21 +51,29 @@
 	}
 }
 
+// final reports whether another round would say nothing else.
+func final(err error) bool {
+	return fault.Is(err, fault.BudgetExhausted) || errors.Is(err, errHolderSilent)
+}
+
 // drawOnce asks the nodes that are known to hold tokens, and then each share
-// once. It fails with fault.BudgetExhausted if all shares were read and hold too
-// little, and no node handed over what lacks.
+// once. It fails with fault.BudgetExhausted if all shares were read and are used
+// up, and no node handed over what lacks or may still do so.
 func (b *Book) drawOnce(ctx context.Context, account *account, claim Claim, inquiry *inquiry) (taken bool, failure error) {
 	budget, tokens := claim.Budget, claim.Tokens
 	if account.take(tokens) {
 		return true, nil
 	}
+	if tokens > budget { // reaching past the budget is for a turn that it held once
+		return false, spentError(budget, budget, tokens)
+	}
 	if err := account.stillSpent(budget, tokens); err != nil {
 		return false, err
 	}
 	b.ask(ctx, account, tokens, inquiry)
-	for index, share := range account.shares {
+	for _, index := range drawOrder {
 		limited, cancel := context.WithTimeout(ctx, shareWait)
-		err := b.drawFrom(limited, account, share, limitOf(budget, index), claim, inquiry)
+		err := b.drawFrom(limited, account, index, claim, inquiry)
 		cancel()
 		if err != nil {
 			failure = err
@@ -79,6 +91,9 @@
 	if failure != nil {
 		return false, failure
 	}
+	if b.mayComeBack(account) {
+		return false, errHolderSilent
+	}
 	account.noteSpent()
 	return false, spentError(account.left(budget), budget, tokens)
 }
@@ -86,8 +101,9 @@
 // drawFrom draws from one share until the turn has its tokens or the share has
 // none. When it learns that other nodes have drawn there, it asks them first. No
 // error means that the share's row is known for certain.
-func (b *Book) drawFrom(ctx context.Context, account *account, share *share, limit int, claim Claim, inquiry *inquiry) error {
+func (b *Book) drawFrom(ctx context.Context, account *account, index int, claim Claim, inquiry *inquiry) error {
 	budget, tokens := claim.Budget, claim.Tokens
+	share, limit := account.shares[index], limitOf(budget, index)
 	certain := false
 	for {
 		lacking := account.lacks(tokens)
@@ -108,7 +124,7 @@
 			b.ask(ctx, account, tokens, inquiry)
 			continue
 		}
-		wanted := min(left, lacking+ahead(account.left(budget)-lacking, tokens))
+		wanted := drawPlan(index, left, lacking, ahead(account.left(budget)-lacking, tokens))
 		found, done, err := share.commit(ctx, b.options.Store, wanted, account.homeOf())
 		if err != nil {
 			return err
@@ -124,6 +140,21 @@
 	}
 }
 
+// drawPlan is how many tokens to draw from a share of which so many are left.
+//
+// The elastic share gives a turn all that it lacks while the share is not used up,
+// even if that reaches past it: a program whose earlier turn died with its node, and
+// the tokens with it, can go on then. The share is over its part afterwards, so this
+// happens once, and the sum of all shares stays below the budget and the most of
+// one turn. It keeps a token back from what is drawn ahead, so that it is used up
+// by a turn's need only.
+func drawPlan(index, left, lacking, ahead int) int {
+	if index != elasticShare {
+		return min(left, lacking+ahead)
+	}
+	return max(lacking, min(left-1, lacking+ahead))
+}
+
 // ahead is what is drawn beyond a turn's need.
 func ahead(left, tokens int) int {
 	return max(0, min(aheadTurns*tokens, left/aheadShare))
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -45,6 +45,9 @@
 	// that did not answer is not asked again.
 	askWait   = 40 * time.Millisecond
 	silentFor = time.Second
+	// forgetSilence is after how long without a word the tokens of a silent node are
+	// given up.
+	forgetSilence = 4 * time.Second
 	// maxAsked bounds how many nodes a turn asks, and maxHolders how many an
 	// account remembers.
 	maxAsked   = 4
@@ -164,9 +167,10 @@
 		Number:  account.numberFor(holder, b.asks.Add(1)),
 	})
 	if err != nil {
-		b.noteSilent(holder)
+		b.noteSilent(holder, ctx.Err() != nil)
 		return false
 	}
+	b.noteHeard(holder)
 	account.answered(holder)
 	account.add(answer.Tokens)
 	account.setHome(answer.Home)
@@ -178,19 +182,6 @@
 	return true
 }
 
-func (b *Book) isSilent(holder Holder) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	since, ok := b.silent[holder.Process]
-	return ok && time.Since(since) < silentFor
-}
-
-func (b *Book) noteSilent(holder Holder) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.silent[holder.Process] = time.Now()
-}
-
 // HandOver lets go of tokens that this node does not use, for another one.
 func (b *Book) HandOver(ctx context.Context, request HandOverRequest) HandOverAnswer {
 	if request.Process != b.options.Self.Process || request.Tokens <= 0 {
--- a/internal/budget/row.go
+++ b/internal/budget/row.go
@@ -22,8 +22,14 @@
 	shares = 3
 	// shareStride keeps the shares of a program in different parts.
 	shareStride = 21
+	// elasticShare is the one that a single turn may reach past (see drawPlan).
+	elasticShare = 0
 )
 
+// drawOrder is the order in which shares are drawn from: the elastic one last, so
+// that it is the last to be used up.
+var drawOrder = [shares]int{1, 2, elasticShare}
+
 // row is what the table keeps of one share of a program's budget.
 type row struct {
 	Drawn   int                // tokens that nodes hold or have used
