Look for a silent worker when its silence is longer than is usual there

Change: the wait is the mean and four deviations of what the service's workers take (RFC 6298), at least as before, at most eight times that. Test that fails first: forward TestSlowServiceIsNotLookedForEachTime (41 and 39 looks in 20 requests, now 0 or 1).

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -40,6 +40,7 @@
 	workers  map[string]*Worker
 	services map[string]roster
 	vanished map[string][]vanished
+	silences map[string]*Silences
 	lost     chan *Worker // workers that took no connection
 }
 
@@ -65,6 +66,7 @@
 		workers:  map[string]*Worker{},
 		services: map[string]roster{},
 		vanished: map[string][]vanished{},
+		silences: map[string]*Silences{},
 		lost:     make(chan *Worker, lostBacklog),
 	}
 }
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -52,6 +52,7 @@
 	scripts   map[string]script
 	calls     []sent
 	reachable bool // workers take connections
+	dials     int  // connections opened to see whether a worker is there
 }
 
 func newFixture(t *testing.T, routes ...route.Route) *fixture {
@@ -75,6 +76,9 @@
 }
 
 func (f *fixture) dial(context.Context, string) (net.Conn, error) {
+	f.mutex.Lock()
+	f.dials++
+	f.mutex.Unlock()
 	if !f.reachable {
 		return nil, errors.New("no connections in this test")
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -177,3 +178,42 @@
 	require.True(t, f.forwarder.SetConfiguration(route.New(9, nil, nil, route.Limits{})))
 	require.Zero(t, f.forwarder.Configuration().Len())
 }
+
+// TestSlowServiceIsNotLookedForEachTime: where an answer usually takes long, its
+// worker's silence is no reason to open a connection to it.
+func TestSlowServiceIsNotLookedForEachTime(t *testing.T) {
+	for name, test := range map[string]struct {
+		route route.Route
+		usual time.Duration
+		does  func(usual time.Duration) script
+	}{
+		"safe": {plainRoute(route.Safe, 2), 2 * safeStall, func(usual time.Duration) script {
+			return func(context.Context, Call) (*Answer, error) {
+				time.Sleep(usual)
+				return answer(http.StatusOK, false, strings.NewReader("ok")), nil
+			}
+		}},
+		"streaming": {turnRoute(nil), 2 * streamStall, func(usual time.Duration) script {
+			return func(ctx context.Context, call Call) (*Answer, error) {
+				time.Sleep(usual)
+				return streams(3, 0)(ctx, call)
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, test.route)
+				f.reachable = true
+				f.worker("w", test.does(test.usual))
+				for range 10 {
+					require.Nil(t, f.serve(t.Context(), nil).refusal)
+				}
+				f.dials = 0
+				for range 20 {
+					require.Nil(t, f.serve(t.Context(), nil).refusal)
+				}
+				require.LessOrEqual(t, f.dials, 1)
+			})
+		})
+	}
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -55,7 +55,7 @@
 func (x *exchange) tryPlain(ctx context.Context, worker *backend.Worker) (done bool, refusal *fault.Error) {
 	defer worker.Begin()()
 	repeatable := x.route.Repeatable()
-	limited, dog := watch(ctx, worker, safeStall, !repeatable, x.priority())
+	limited, dog := x.watch(ctx, worker, safeStall, !repeatable)
 	if !repeatable {
 		dog.timer.Stop()
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -59,7 +59,7 @@
 // tryStream asks one worker. done means that nothing more is to be asked.
 func (x *exchange) tryStream(ctx context.Context, worker *backend.Worker, perEvent int) (done bool, refusal *fault.Error) {
 	defer worker.Begin()()
-	limited, dog := watch(ctx, worker, streamStall, false, x.priority())
+	limited, dog := x.watch(ctx, worker, streamStall, false)
 	defer dog.stop()
 	answer, err := x.send(limited, worker)
 	if err != nil {
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -24,10 +24,15 @@
 	checksInQueue     = 9
 )
 
+// patienceRange is how much longer than its least the wait for a silent worker may
+// be, where the workers of its service are usually silent for long.
+const patienceRange = 8
+
 // watchdog ends an exchange with a worker that has fallen silent.
 type watchdog struct {
-	worker *backend.Worker
-	after  time.Duration
+	worker   *backend.Worker
+	silences *backend.Silences // usual at the worker's service
+	least    time.Duration     // of silence before the worker is looked for
 	// patient: a reachable worker is waited for as long as the request may take.
 	patient bool
 	// sent and priority tell whether the worker serves others before this request.
@@ -36,24 +41,47 @@
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
 	checks   atomic.Int32
+	begun    atomic.Bool // the answer has begun
+	last     time.Time   // when the worker was last heard
 }
 
 // watch returns a context that ends with errUnreachable or errStalled when the
-// worker has not been heard of for a while.
-func watch(ctx context.Context, worker *backend.Worker, after time.Duration, patient bool, priority int) (context.Context, *watchdog) {
+// worker has not been heard of for longer than is usual, and for least at least.
+func (x *exchange) watch(ctx context.Context, worker *backend.Worker, least time.Duration, patient bool) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{worker: worker, after: after, patient: patient, sent: time.Now(), priority: priority, cancel: cancel}
-	w.timer = time.AfterFunc(after, func() { w.check(ctx) })
+	now := time.Now()
+	w := &watchdog{
+		worker: worker, silences: x.options.Workers.Silences(x.service), least: least, patient: patient,
+		sent: now, last: now, priority: x.priority(), cancel: cancel,
+	}
+	w.timer = time.AfterFunc(w.patience(), func() { w.check(ctx) })
 	return ctx, w
 }
 
 // heard starts the wait anew.
 func (w *watchdog) heard() {
+	now := time.Now()
+	w.usual().Observe(now.Sub(w.last))
+	w.last = now
+	w.begun.Store(true)
 	w.checks.Store(0)
-	w.timer.Reset(w.after)
+	w.timer.Reset(w.patience())
 	w.worker.Serves(w.sent, w.priority)
 }
 
+// usual is how long a worker is usually silent where the answer stands.
+func (w *watchdog) usual() *backend.Estimate {
+	if w.begun.Load() {
+		return &w.silences.Next
+	}
+	return &w.silences.First
+}
+
+// patience is how long the worker may be silent before it is looked for.
+func (w *watchdog) patience() time.Duration {
+	return w.usual().Longest(w.least, patienceRange*w.least)
+}
+
 // stalled reports whether a worker that takes connections is to be given up.
 func (w *watchdog) stalled(checks int) bool {
 	if w.patient {
@@ -87,6 +115,6 @@
 	case w.stalled(checks):
 		w.cancel(errStalled)
 	default:
-		w.timer.Reset(w.after)
+		w.timer.Reset(w.patience())
 	}
 }
