Nodes call the table for those that it turns away

Ruled out: workers (none ran badly), budgets (tokens were handed over). Change: store.Relayed makes a call through another node that this one has met, besides its own way, when that refuses it, is silent for three times what is usual, or has just failed. A transaction that goes both ways is recognised in the row, as a hedged one is.

--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -122,6 +122,9 @@
 	}
 }
 
+// Met lists the processes met lately and not known to be silent, the newest first.
+func (b *Book) Met() []Holder { return b.met(nil) }
+
 // met lists the processes met lately, but those asked already and those that are
 // silent, the newest first.
 func (b *Book) met(asked []string) []Holder {
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -18,6 +18,9 @@
 	methodHandOver = "budget.hand_over"
 	// methodChain asks a node for what was said up to a turn.
 	methodChain = "history.chain"
+	// methodCommit and methodRange ask a node to call the table.
+	methodCommit = "table.commit"
+	methodRange  = "table.range"
 )
 
 // peerKey keeps strangers of other systems out. It is no secret: what a node hands
@@ -29,7 +32,7 @@
 	// peerIdleTimeout is how long an unused connection to another node is kept.
 	peerIdleTimeout = 4 * time.Second
 	// maxPeerRequest and maxPeerAnswer bound messages between nodes, in bytes.
-	maxPeerRequest = 16 << 10
+	maxPeerRequest = 2 << 20
 	maxPeerAnswer  = 4 << 20
 )
 
--- /dev/null
+++ b/internal/server/relay.go
@@ -0,0 +1,205 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/peer"
+	"github.com/cloverwheel/cloverwheel/internal/store"
+)
+
+const (
+	// relaysAsked is how many nodes are asked to make a call, one after the other.
+	relaysAsked = 2
+	// relayPatiences is for how many times the table's usual patience one is
+	// waited for.
+	relayPatiences = 3
+)
+
+// outcome is what came of a call to the table at another node.
+type outcome int
+
+// The outcomes. The zero value is that of a process other than the one asked.
+const (
+	outcomeNotDone  outcome = iota // it had no effect
+	outcomeDone                    // the table did it
+	outcomeConflict                // its conditions do not hold
+	outcomeUnsure                  // it may have had an effect
+)
+
+// commitRequest asks a process to make a transaction.
+type commitRequest struct {
+	Process     string // that is asked
+	Transaction store.Transaction
+}
+
+// commitAnswer is what came of it.
+type commitAnswer struct {
+	Outcome outcome
+	Version store.Version
+	Rows    []store.Row // of a conflict
+}
+
+// rangeRequest asks a process to read rows.
+type rangeRequest struct {
+	Process               string // that is asked
+	Table, Part, From, To string
+	Limit                 int
+}
+
+// rangeAnswer is what it read.
+type rangeAnswer struct {
+	Outcome outcome
+	Page    store.Page
+}
+
+// errRelaySilent is a relayed transaction without an answer: it may have an effect.
+var errRelaySilent = errors.New("the node that was asked to call the table did not answer")
+
+// handleRelayed answers other nodes that ask this one to call the table. It calls
+// by its own way alone, and only while that is sound.
+func handleRelayed(mux *peer.Mux, process string, table *store.Gate) {
+	peer.Handle(mux, methodCommit, func(ctx context.Context, request commitRequest) (commitAnswer, error) {
+		if request.Process != process || table.Suspect() {
+			return commitAnswer{}, nil
+		}
+		version, err := table.Commit(ctx, request.Transaction)
+		return answerOf(version, err), nil
+	})
+	peer.Handle(mux, methodRange, func(ctx context.Context, request rangeRequest) (rangeAnswer, error) {
+		if request.Process != process || table.Suspect() {
+			return rangeAnswer{}, nil
+		}
+		page, err := table.Range(ctx, request.Table, request.Part, request.From, request.To, request.Limit)
+		if err != nil {
+			return rangeAnswer{}, nil
+		}
+		return rangeAnswer{Outcome: outcomeDone, Page: page}, nil
+	})
+}
+
+func answerOf(version store.Version, err error) commitAnswer {
+	var conflict *store.Conflict
+	switch {
+	case err == nil:
+		return commitAnswer{Outcome: outcomeDone, Version: version}
+	case errors.As(err, &conflict):
+		return commitAnswer{Outcome: outcomeConflict, Rows: conflict.Rows}
+	case errors.Is(err, store.ErrNotDone):
+		return commitAnswer{}
+	default:
+		return commitAnswer{Outcome: outcomeUnsure}
+	}
+}
+
+// err is the answer as an error of a Store.
+func (a commitAnswer) err() error {
+	switch a.Outcome {
+	case outcomeDone:
+		return nil
+	case outcomeConflict:
+		return &store.Conflict{Rows: a.Rows}
+	case outcomeUnsure:
+		return errRelaySilent
+	default:
+		return store.ErrNotDone
+	}
+}
+
+// relays implements store.Relays over messages between nodes.
+type relays struct {
+	transport peer.Transport
+	known     func() []budget.Holder // nodes that may be asked, the newest first
+	patience  func() time.Duration   // with a call to the table
+
+	mutex sync.Mutex
+	last  budget.Holder // that helped
+}
+
+// Commit implements store.Relays. Once a node may have made the transaction, its
+// failure is doubtful, whatever the next one says.
+func (r *relays) Commit(ctx context.Context, transaction store.Transaction) (store.Version, error) {
+	failure := store.ErrNotDone
+	for _, holder := range r.choose() {
+		request := commitRequest{Process: holder.Process, Transaction: transaction}
+		answer, err := ask[commitAnswer](ctx, r, holder, methodCommit, request)
+		if err == nil {
+			err = answer.err()
+		} else {
+			err = errRelaySilent
+		}
+		var conflict *store.Conflict
+		if err == nil || errors.As(err, &conflict) {
+			r.note(holder)
+			return answer.Version, err
+		}
+		r.forget(holder)
+		if !errors.Is(err, store.ErrNotDone) {
+			failure = err
+		}
+	}
+	return 0, failure
+}
+
+// Range implements store.Relays.
+func (r *relays) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
+	for _, holder := range r.choose() {
+		request := rangeRequest{Process: holder.Process, Table: table, Part: part, From: from, To: to, Limit: limit}
+		answer, err := ask[rangeAnswer](ctx, r, holder, methodRange, request)
+		if err == nil && answer.Outcome == outcomeDone {
+			r.note(holder)
+			return answer.Page, nil
+		}
+		r.forget(holder)
+	}
+	return store.Page{}, store.ErrNotDone
+}
+
+// ask asks one node, for a bounded time.
+func ask[Answer, Request any](ctx context.Context, r *relays, holder budget.Holder, method string, request Request) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayPatiences*r.patience())
+	defer cancel()
+	return peer.Invoke[Answer](ctx, r.transport, peer.Address(holder.Address), method, request)
+}
+
+// choose lists the nodes to ask: the one that helped last first, then any.
+func (r *relays) choose() []budget.Holder {
+	known := r.known()
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	r.mutex.Lock()
+	last := r.last
+	r.mutex.Unlock()
+	chosen := make([]budget.Holder, 0, relaysAsked+1)
+	if last.Process != "" {
+		chosen = append(chosen, last)
+	}
+	for _, holder := range known {
+		if len(chosen) == relaysAsked {
+			break
+		}
+		if holder != last {
+			chosen = append(chosen, holder)
+		}
+	}
+	return chosen
+}
+
+// note remembers a node that helped.
+func (r *relays) note(helper budget.Holder) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.last = helper
+}
+
+// forget lets others be asked before one that did not help.
+func (r *relays) forget(holder budget.Holder) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.last == holder {
+		r.last = budget.Holder{}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -103,7 +103,7 @@
 	if options.Listen == nil {
 		options.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
-	table := store.NewGate(options.Store, options.Logger)
+	gate := store.NewGate(options.Store, options.Logger)
 	workers := backend.NewRegistry(backend.Options{
 		Zone:        options.Settings.Zone,
 		DialTimeout: options.DialTimeout,
@@ -111,13 +111,20 @@
 		OnDial:      options.Metrics.Dials.Inc,
 	})
 	peers := newPeers(options.Settings.Peers, options.PeerNetwork)
+	relays := &relays{transport: peers.transport, patience: gate.Patience}
+	table := store.Store(gate)
+	if peers.address != "" {
+		table = store.NewRelayed(gate, relays, options.Logger)
+	}
 	budgets := budget.NewBook(budget.Options{
 		Store: table,
 		Self:  budget.Holder{Process: options.Process, Address: options.Settings.Peers},
 		Peers: peers.budgets(),
 	})
 	keeper := history.New(history.Options{Store: table, CacheBytes: int(options.Settings.MemoryBytes / memoryForHistory)})
+	relays.known = budgets.Met
 	peers.handle(options.Process, budgets, keeper)
+	handleRelayed(peers.mux, options.Process, gate)
 	return &Server{
 		options: options,
 		workers: workers,
@@ -125,7 +132,7 @@
 		peers:   peers,
 		drain:   make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
-			Store:  table,
+			Store:  gate,
 			Tables: []sweep.Table{{Name: budget.Table, Parts: budget.Parts()}, {Name: history.Table, Parts: history.Parts()}},
 			Logger: options.Logger,
 		}),
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -72,6 +72,13 @@
 	until time.Time
 }
 
+// Suspect reports whether the last calls have failed, whatever their parts.
+func (g *Gate) Suspect() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.opened != nil || g.failures >= suspectFailures
+}
+
 // NewGate returns an open gate before table, which logs when it closes and opens.
 func NewGate(table Store, logger log.Interface) *Gate {
 	return &Gate{Store: table, logger: logger, parts: map[string]*partGate{}}
--- /dev/null
+++ b/internal/store/relay_test.go
@@ -0,0 +1,164 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
+)
+
+// ways are two ways to one table, each with its own faults.
+type ways struct {
+	table      *storetest.Table
+	own, other storetest.Fault
+	relayed    int
+}
+
+// Commit implements store.Relays.
+func (w *ways) Commit(ctx context.Context, transaction store.Transaction) (store.Version, error) {
+	w.relayed++
+	return faulty(ctx, w.other, func(ctx context.Context) (store.Version, error) { return w.table.Commit(ctx, transaction) })
+}
+
+// Range implements store.Relays.
+func (w *ways) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
+	w.relayed++
+	return faulty(ctx, w.other, func(ctx context.Context) (store.Page, error) { return w.table.Range(ctx, table, part, from, to, limit) })
+}
+
+// ownWay is the node's own.
+type ownWay struct {
+	store.Store
+	ways *ways
+}
+
+// Commit implements store.Store.
+func (o ownWay) Commit(ctx context.Context, transaction store.Transaction) (store.Version, error) {
+	return faulty(ctx, o.ways.own, func(ctx context.Context) (store.Version, error) { return o.ways.table.Commit(ctx, transaction) })
+}
+
+// Range implements store.Store.
+func (o ownWay) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
+	return faulty(ctx, o.ways.own, func(ctx context.Context) (store.Page, error) {
+		return o.ways.table.Range(ctx, table, part, from, to, limit)
+	})
+}
+
+func faulty[T any](ctx context.Context, fault storetest.Fault, call func(context.Context) (T, error)) (T, error) {
+	var none T
+	switch fault {
+	case storetest.Refused:
+		return none, store.ErrNotDone
+	case storetest.Broken:
+		return none, storetest.ErrBroken
+	case storetest.Applied:
+		_, _ = call(ctx)
+		return none, storetest.ErrBroken
+	case storetest.Silent:
+		<-ctx.Done()
+		return none, ctx.Err()
+	case storetest.Lost:
+		_, _ = call(ctx)
+		<-ctx.Done()
+		return none, ctx.Err()
+	}
+	return call(ctx)
+}
+
+func relayed(w *ways) *store.Relayed {
+	logger := &log.Logger{Handler: discard.New()}
+	return store.NewRelayed(store.NewGate(ownWay{Store: w.table, ways: w}, logger), w, logger)
+}
+
+var troubles = []storetest.Fault{storetest.Refused, storetest.Broken, storetest.Applied, storetest.Silent, storetest.Lost}
+
+// TestOtherNodesCallTheTable: one whose own way fails reads and writes through them,
+// within a moment, and recognises a transaction that went both ways.
+func TestOtherNodesCallTheTable(t *testing.T) {
+	for _, fault := range troubles {
+		synctest.Test(t, func(t *testing.T) {
+			w := &ways{table: storetest.New(), own: fault}
+			table := relayed(w)
+			version := store.Version(0)
+			for turn := range 20 {
+				begun := time.Now()
+				value := string(rune('a' + turn))
+				_, err := table.Commit(t.Context(), write(value, version))
+				var conflict *store.Conflict
+				if errors.As(err, &conflict) {
+					require.Equal(t, value, string(conflict.Find(key).Value), "what made it fail is its own effect")
+				} else {
+					require.NoError(t, err, "fault %d", fault)
+				}
+				page, err := table.Range(t.Context(), key.Table, key.Part, "", "", 0)
+				require.NoError(t, err)
+				require.Equal(t, value, string(page.Rows[0].Value))
+				version = page.Rows[0].Version
+				require.Less(t, time.Since(begun), 500*time.Millisecond, "fault %d", fault)
+			}
+			w.own = storetest.None
+			time.Sleep(time.Second)
+			_, err := table.Commit(t.Context(), write("z", version))
+			require.NoError(t, err)
+		})
+	}
+}
+
+// TestSoundWayIsTheOnlyOne: no other node is asked while the own way answers, be it
+// by a conflict.
+func TestSoundWayIsTheOnlyOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &ways{table: storetest.New()}
+		table := relayed(w)
+		for range 10 {
+			_, _ = table.Commit(t.Context(), write("v", 0))
+			_, err := table.Range(t.Context(), key.Table, key.Part, "", "", 0)
+			require.NoError(t, err)
+		}
+		require.Zero(t, w.relayed)
+	})
+}
+
+// TestTableThatIsDownIsNotAskedForThroughOthers all the time: they cannot help.
+func TestTableThatIsDownIsNotAskedForThroughOthers(t *testing.T) {
+	for _, fault := range troubles {
+		synctest.Test(t, func(t *testing.T) {
+			w := &ways{table: storetest.New(), own: fault, other: storetest.Refused}
+			table := relayed(w)
+			for range 100 {
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				_, err := table.Commit(ctx, write("v", 1))
+				cancel()
+				require.Error(t, err)
+			}
+			require.Positive(t, w.relayed)
+			require.LessOrEqual(t, w.relayed, 25, "fault %d: in ten seconds", fault)
+		})
+	}
+}
+
+// TestDoubtStays: a call that one way may have made is in doubt, whatever the other
+// way says of its own.
+func TestDoubtStays(t *testing.T) {
+	for _, faults := range [][2]storetest.Fault{{storetest.Broken, storetest.Refused}, {storetest.Refused, storetest.Broken}} {
+		synctest.Test(t, func(t *testing.T) {
+			table := relayed(&ways{table: storetest.New(), own: faults[0], other: faults[1]})
+			_, err := table.Commit(t.Context(), write("v", 0))
+			require.Error(t, err)
+			require.NotErrorIs(t, err, store.ErrNotDone)
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		table := relayed(&ways{table: storetest.New(), own: storetest.Refused, other: storetest.Refused})
+		_, err := table.Commit(t.Context(), write("v", 0))
+		require.ErrorIs(t, err, store.ErrNotDone)
+	})
+}
