--- a/internal/forward/chain.go
+++ b/internal/forward/chain.go
@@ -17,9 +17,13 @@
 }
 
 const (
-	// chainPatience is how long other nodes have to tell a chain before the table
-	// is asked, too; mostly they take less than the table.
+	// chainPatience is how long other nodes have to tell a chain, once it is known
+	// which to ask, before the table is asked, too; mostly they take less than the
+	// table.
 	chainPatience = 25 * time.Millisecond
+	// holdersPatience is how long the program's account may take to tell which nodes
+	// to ask before the table is asked for the chain without them.
+	holdersPatience = 100 * time.Millisecond
 	// askChainWait is how long one node is waited for, and maxChainAsked how many
 	// are asked.
 	askChainWait  = 50 * time.Millisecond
@@ -46,16 +50,21 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan chainResult, 2)
-	go func() { results <- chainResult{turns: x.askChain(ctx, holders), told: true} }()
+	asking := make(chan struct{})
+	go func() { results <- chainResult{turns: x.askChain(ctx, holders, asking), told: true} }()
 	read := func() {
 		turns, err := x.options.History.Chain(ctx, x.request.Continue)
 		results <- chainResult{turns: turns, err: err}
 	}
-	timer := time.NewTimer(chainPatience)
+	timer := time.NewTimer(holdersPatience)
 	defer timer.Stop()
 	reading := false
 	for answered := 0; ; {
 		select {
+		case <-asking:
+			asking = nil
+			timer.Reset(chainPatience)
+			continue
 		case <-timer.C:
 		case result := <-results:
 			if result.turns != nil {
@@ -81,11 +90,13 @@
 	return result.turns
 }
 
-// askChain asks other nodes; nil if none of them remembers the chain.
-func (x *exchange) askChain(ctx context.Context, holders <-chan []budget.Holder) []*history.Turn {
+// askChain asks other nodes; nil if none of them remembers the chain. It closes
+// asking once it knows which to ask.
+func (x *exchange) askChain(ctx context.Context, holders <-chan []budget.Holder, asking chan<- struct{}) []*history.Turn {
 	select {
 	case <-ctx.Done():
 	case known := <-holders:
+		close(asking)
 		for _, holder := range known[:min(len(known), maxChainAsked)] {
 			if chain := x.askOneChain(ctx, holder); chain != nil {
 				return chain
