A node sends plain requests to few of many workers

Change: beyond 32 workers the shortlist of plain requests without an object is chosen by the node's name; those that decline make room for others. Found with it: a list that is gone through by strides did not reach all workers where the stride divides their number (of 99 only 33). Services of up to 32 workers are not touched.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -15,11 +15,13 @@
 	Service string
 	Home    string // worker that knows the request's context; empty if none is known
 	Key     string // requests with the same key prefer the same worker
-	Prompt  int    // tokens of a model call's prompt
-	Shared  int    // of them, those that other programs share
-	Output  int    // most tokens that may be generated
-	Exclude []string
-	Only    []string // if given, no other worker may be chosen
+	// SameObject says that the key is an object that a worker may remember.
+	SameObject bool
+	Prompt     int // tokens of a model call's prompt
+	Shared     int // of them, those that other programs share
+	Output     int // most tokens that may be generated
+	Exclude    []string
+	Only       []string // if given, no other worker may be chosen
 }
 
 const (
@@ -82,7 +84,18 @@
 	if len(query.Only) > 0 {
 		return allowed(query, workers)
 	}
-	return shortlist(query, workers, near)
+	return shortlist(query, r.spreadOf(query), workers, near)
+}
+
+// spreadOf is what decides which workers are on a request's shortlist. Model calls
+// are spread by what they belong to, as are requests for the same object. All other
+// requests of a node go to the same few workers, so that its connections to them are
+// used again; those that decline make room for others on the list.
+func (r *Registry) spreadOf(query Query) string {
+	if query.Prompt == 0 && !query.SameObject {
+		return r.options.Node
+	}
+	return query.Key
 }
 
 func allowed(query Query, workers []*Worker) []*Worker {
@@ -95,17 +108,17 @@
 	return kept
 }
 
-// shortlist keeps the home and a few workers by hash of the key, so that the cost
+// shortlist keeps the home and a few workers by hash of spread, so that the cost
 // of a decision does not grow with the number of workers. The first near of them
 // are of this node's zone; they come first, and each of them is on as many
 // shortlists as any other, so that none draws more first turns than the rest.
-func shortlist(query Query, workers []*Worker, near int) []*Worker {
+func shortlist(query Query, spread string, workers []*Worker, near int) []*Worker {
 	if len(workers) <= lookAtAll {
 		return workers
 	}
 	short := make([]*Worker, 0, shortlisted+1)
-	short = appendSpread(short, query, workers[:near], shortlisted)
-	short = appendSpread(short, query, workers[near:], max(shortlisted-len(short), shortlistedAway))
+	short = appendSpread(short, query, spread, workers[:near], shortlisted)
+	short = appendSpread(short, query, spread, workers[near:], max(shortlisted-len(short), shortlistedAway))
 	for _, worker := range workers {
 		if query.Home != "" && worker.Record().ID == query.Home && !slices.Contains(short, worker) {
 			short = append(short, worker)
@@ -115,16 +128,16 @@
 }
 
 // appendSpread appends up to most workers that may get new work, spread over the
-// list from a place that the key decides.
-func appendSpread(short []*Worker, query Query, workers []*Worker, most int) []*Worker {
+// list from a place that spread decides.
+func appendSpread(short []*Worker, query Query, spread string, workers []*Worker, most int) []*Worker {
 	if len(workers) == 0 {
 		return short
 	}
-	start := int(xxhash.Sum64String(query.Key) % uint64(len(workers)))
+	start := int(xxhash.Sum64String(spread) % uint64(len(workers)))
 	stride := max(1, len(workers)/most)
 	wanted := len(short) + most
-	for step := 0; step < len(workers) && len(short) < wanted; step++ {
-		worker := workers[(start+step*stride)%len(workers)]
+	for visit := 0; visit < len(workers)+stride && len(short) < wanted; visit++ {
+		worker := workers[(start+visitAt(visit, stride, len(workers)))%len(workers)]
 		if !slices.Contains(short, worker) && !slices.Contains(query.Exclude, worker.Record().ID) && !worker.Leaving() {
 			short = append(short, worker)
 		}
@@ -132,6 +145,13 @@
 	return short
 }
 
+// visitAt is the place of a visit in a list that is gone through by strides, again
+// and again from one place further on, so that each place is visited.
+func visitAt(visit, stride, length int) int {
+	perRound := (length + stride - 1) / stride
+	return visit%perRound*stride + visit/perRound
+}
+
 func (w *Worker) candidate(query Query, zone string, now time.Time) place.Candidate {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -15,6 +15,7 @@
 // Options of a Registry.
 type Options struct {
 	Zone        string // of this node
+	Node        string // its name; nodes prefer different workers by it
 	DialTimeout time.Duration
 	OnDial      func()
 	// Dial opens a connection to an address; nil dials by TCP.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -157,14 +157,15 @@
 			only = x.ran
 		}
 		worker, err := x.options.Workers.Choose(backend.Query{
-			Only:    only,
-			Service: x.service,
-			Home:    x.home,
-			Key:     x.key(),
-			Prompt:  x.request.Prompt,
-			Shared:  x.request.Shared,
-			Output:  x.request.Output,
-			Exclude: x.excluded,
+			Only:       only,
+			Service:    x.service,
+			Home:       x.home,
+			Key:        x.key(),
+			SameObject: x.request.Object != "",
+			Prompt:     x.request.Prompt,
+			Shared:     x.request.Shared,
+			Output:     x.request.Output,
+			Exclude:    x.excluded,
 		})
 		if err == nil {
 			return worker, nil
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -106,6 +106,7 @@
 	gate := store.NewGate(options.Store, options.Logger)
 	workers := backend.NewRegistry(backend.Options{
 		Zone:        options.Settings.Zone,
+		Node:        options.Settings.Node,
 		DialTimeout: options.DialTimeout,
 		Dial:        options.Dial,
 		OnDial:      options.Metrics.Dials.Inc,
