Ask the nodes that may know a chain at the same time

Cause: the node that drew a program's tokens last need not have run its last turn, since tokens are handed over; asked one after the other, the second often came after the 25 ms at which the table is asked, too.

--- a/internal/forward/chain.go
+++ b/internal/forward/chain.go
@@ -24,10 +24,11 @@
 	// holdersPatience is how long the program's account may take to tell which nodes
 	// to ask before the table is asked for the chain without them.
 	holdersPatience = 100 * time.Millisecond
-	// askChainWait is how long one node is waited for, and maxChainAsked how many
-	// are asked.
+	// askChainWait is how long other nodes are waited for, and maxChainAsked how many
+	// are asked at the same time: the one that drew last need not have run the last
+	// turn, since tokens are handed over.
 	askChainWait  = 50 * time.Millisecond
-	maxChainAsked = 2
+	maxChainAsked = 3
 )
 
 // chainResult is what came of looking for a chain. No chain and no error means
@@ -95,20 +96,30 @@
 func (x *exchange) askChain(ctx context.Context, holders <-chan []budget.Holder, asking chan<- struct{}) []*history.Turn {
 	select {
 	case <-ctx.Done():
+		return nil
 	case known := <-holders:
 		close(asking)
-		for _, holder := range known[:min(len(known), maxChainAsked)] {
-			if chain := x.askOneChain(ctx, holder); chain != nil {
-				return chain
-			}
+		return x.firstChain(ctx, known[:min(len(known), maxChainAsked)])
+	}
+}
+
+// firstChain asks nodes at the same time and returns the first chain that one tells.
+func (x *exchange) firstChain(ctx context.Context, asked []budget.Holder) []*history.Turn {
+	ctx, cancel := context.WithTimeout(ctx, askChainWait)
+	defer cancel()
+	chains := make(chan []*history.Turn, len(asked))
+	for _, holder := range asked {
+		go func() { chains <- x.askOneChain(ctx, holder) }()
+	}
+	for range asked {
+		if chain := <-chains; chain != nil {
+			return chain
 		}
 	}
 	return nil
 }
 
 func (x *exchange) askOneChain(ctx context.Context, holder budget.Holder) []*history.Turn {
-	ctx, cancel := context.WithTimeout(ctx, askChainWait)
-	defer cancel()
 	chain, err := x.options.Neighbours.Chain(ctx, holder, x.request.Continue)
 	if err != nil || !isChainOf(x.request.Continue, chain) {
 		return nil
