--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -201,9 +201,9 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          nil,
+		ErrorLog:          newErrorLog(s.options.Logger),
 	}
-	ready := &http.Server{Handler: s.options.Ready(s), ReadHeaderTimeout: readHeaderTimeout}
+	ready := &http.Server{Handler: s.options.Ready(s), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: newErrorLog(s.options.Logger)}
 	if err := s.serve(group, front, s.options.Settings.Front); err != nil {
 		return err
 	}
@@ -211,7 +211,7 @@
 		return err
 	}
 	s.peers.serve(ctx, group, s)
-	metrics := &http.Server{Handler: s.options.Metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	metrics := &http.Server{Handler: s.options.Metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: newErrorLog(s.options.Logger)}
 	if address := s.options.Settings.Metrics; address != "" {
 		if err := s.serve(group, metrics, address); err != nil {
 			return err
