--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -15,6 +15,7 @@
 	Requests *forward.Metrics
 	Dials    prometheus.Counter
 	Table    *prometheus.CounterVec // by call
+	Relayed  prometheus.Counter     // calls to the table that other nodes were asked for
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -26,7 +27,8 @@
 		Dials:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_connections_total", Help: "New connections to workers."}),
 		Table:    prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_calls_total", Help: "Calls to the table."}, []string{"call"}),
 	}
-	registry.MustRegister(m.Dials, m.Table)
+	m.Relayed = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
+	registry.MustRegister(m.Dials, m.Table, m.Relayed)
 	return m
 }
 
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -115,6 +115,7 @@
 	transport peer.Transport
 	known     func() []budget.Holder // nodes that may be asked, the newest first
 	patience  func() time.Duration   // with a call to the table
+	count     func()                 // counts the calls that other nodes are asked for
 
 	mutex sync.Mutex
 	last  budget.Holder // that helped
@@ -163,6 +164,7 @@
 func ask[Answer, Request any](ctx context.Context, r *relays, holder budget.Holder, method string, request Request) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayPatiences*r.patience())
 	defer cancel()
+	r.count()
 	return peer.Invoke[Answer](ctx, r.transport, peer.Address(holder.Address), method, request)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -112,7 +112,7 @@
 		OnDial:      options.Metrics.Dials.Inc,
 	})
 	peers := newPeers(options.Settings.Peers, options.PeerNetwork)
-	relays := &relays{transport: peers.transport, patience: gate.Patience}
+	relays := &relays{transport: peers.transport, patience: gate.Patience, count: options.Metrics.Relayed.Inc}
 	table := store.Store(gate)
 	if peers.address != "" {
 		table = store.NewRelayed(gate, relays, options.Logger)
