Count control apart from work: calls and bytes at the table, messages between nodes, looks at workers

Change: table_calls_total by call and table; table_bytes_total by what a connection carries (feeds: control; calls: work), counted on the connection with all heads, so feeds have connections of their own; peers' bytes by method, now registered on the node's registry; worker_looks_total. Ruled out: counting bodies only, since heads are most of a waiting call's bytes.

--- a/cmd/cloverwheeld/main.go
+++ b/cmd/cloverwheeld/main.go
@@ -110,7 +110,7 @@
 	node := server.New(server.Options{
 		Settings:  settings.Server,
 		Process:   process,
-		Store:     platform.NewTable(settings.Store, func(call string) { metrics.Table.WithLabelValues(call).Inc() }),
+		Store:     platform.NewTable(settings.Store, platform.TableMeter{Call: metrics.TableCall, Bytes: metrics.TableBytes}),
 		Transport: platform.Workers{},
 		Records: server.Records{
 			ConfigurationTable: platform.TableOperator,
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -18,6 +18,7 @@
 	Node        string // its name; nodes prefer different workers by it
 	DialTimeout time.Duration
 	OnDial      func()
+	OnLook      func() // counts looks whether a worker takes connections; may be nil
 	// Dial opens a connection to an address; nil dials by TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Now is the clock; nil is time.Now.
@@ -110,6 +111,7 @@
 		MaxIdle:     idlePerWorker,
 		IdleTimeout: idleWithoutWord,
 		OnDial:      r.options.OnDial,
+		OnLook:      r.options.OnLook,
 	}
 	if r.options.Dial != nil {
 		options.Dial = func(ctx context.Context) (net.Conn, error) { return r.options.Dial(ctx, address) }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -55,6 +55,8 @@
 	MaxIdle     int           // idle connections kept
 	IdleTimeout time.Duration // where the peer announces nothing
 	OnDial      func()        // counts new connections; may be nil
+	OnLook      func()        // counts calls of Reachable; may be nil
+	OnBytes     ByteCounter   // nil: bytes are not counted
 	// Dial opens a connection; nil dials Address by TCP.
 	Dial func(ctx context.Context) (net.Conn, error)
 }
@@ -74,6 +76,9 @@
 	return &Pool{options: options, limit: options.IdleTimeout}
 }
 
+// Address is where the pool's connections lead.
+func (p *Pool) Address() string { return p.options.Address }
+
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
@@ -199,10 +204,11 @@
 		raw.Close()
 		return nil, ErrCrowded
 	}
+	reads, writes := p.counted(raw)
 	return &conn{
 		Conn:      raw,
-		reader:    bufio.NewReaderSize(raw, readBuffer),
-		writer:    bufio.NewWriterSize(pooledCopy{raw}, writeBuffer),
+		reader:    bufio.NewReaderSize(reads, readBuffer),
+		writer:    bufio.NewWriterSize(pooledCopy{writes}, writeBuffer),
 		keepAlive: p.options.IdleTimeout,
 	}, nil
 }
@@ -282,6 +288,9 @@
 // Reachable opens a connection and keeps it. It tells a worker that is slow
 // from one that is gone; one that has no place for the connection is there.
 func (p *Pool) Reachable(ctx context.Context) bool {
+	if p.options.OnLook != nil {
+		p.options.OnLook()
+	}
 	c, err := p.dial(ctx)
 	if errors.Is(err, ErrCrowded) {
 		return true
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return nil, unreachable(to, fault.RanUnknown)
 	}
-	t.metrics.received.Add(float64(len(answer)))
+	t.metrics.received.WithLabelValues(method).Add(float64(len(answer)))
 	whole, hash, known := restore(answer)
 	if !known {
 		return nil, unreachable(to, fault.RanUnknown)
@@ -178,7 +178,7 @@
 		if err != nil {
 			return streamFailure(to, err)
 		}
-		t.metrics.received.Add(float64(len(payload)))
+		t.metrics.received.WithLabelValues(method).Add(float64(len(payload)))
 		switch kind {
 		case frameItem:
 			if len(payload) > 0 && payloadKind(payload[0]) == payloadSchema {
@@ -248,7 +248,7 @@
 	if err != nil {
 		return nil, unreachable(to, body.ran())
 	}
-	t.metrics.sent.Add(float64(len(payload)))
+	t.metrics.sent.WithLabelValues(method).Add(float64(len(payload)))
 	return response, nil
 }
 
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -9,8 +9,8 @@
 // metrics counts the messages of one side of the transport.
 type metrics struct {
 	messages *prometheus.CounterVec // by method and code; the code of success is "ok"
-	sent     prometheus.Counter
-	received prometheus.Counter
+	sent     *prometheus.CounterVec // by method
+	received *prometheus.CounterVec // by method
 	active   prometheus.Gauge
 }
 
@@ -21,14 +21,14 @@
 			Name: "cloverwheel_peer_messages_total", ConstLabels: labels,
 			Help: "Calls and streams between nodes, by method and outcome.",
 		}, []string{"method", "code"}),
-		sent: prometheus.NewCounter(prometheus.CounterOpts{
+		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverwheel_peer_sent_bytes_total", ConstLabels: labels,
-			Help: "Payload bytes sent to other nodes.",
-		}),
-		received: prometheus.NewCounter(prometheus.CounterOpts{
+			Help: "Payload bytes sent to other nodes, by method.",
+		}, []string{"method"}),
+		received: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cloverwheel_peer_received_bytes_total", ConstLabels: labels,
-			Help: "Payload bytes received from other nodes.",
-		}),
+			Help: "Payload bytes received from other nodes, by method.",
+		}, []string{"method"}),
 		active: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cloverwheel_peer_active", ConstLabels: labels,
 			Help: "Calls and streams in progress.",
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -139,7 +139,7 @@
 	if short, hash := elide(answer); hash != 0 && formatHash(hash) == firstValue(r.Header, headerAnswer) {
 		answer = short
 	}
-	s.metrics.sent.Add(float64(len(answer)))
+	s.metrics.sent.WithLabelValues(s.knownMethod(method)).Add(float64(len(answer)))
 	w.Header()["Content-Length"] = []string{strconv.Itoa(len(answer))}
 	_, _ = w.Write(answer) // a failure reaches the caller as a broken response
 }
@@ -169,7 +169,7 @@
 	stream := newItemWriter(w, s.options.MaxItem)
 	err := s.runStream(ctx, method, request, stream.send)
 	s.metrics.done(s.knownMethod(method), err)
-	s.metrics.sent.Add(float64(stream.sent))
+	s.metrics.sent.WithLabelValues(s.knownMethod(method)).Add(float64(stream.sent))
 	stream.finish(err)
 }
 
@@ -208,7 +208,7 @@
 		writeFault(w, http.StatusBadRequest, fault.New(fault.Invalid, "peer request was cut short", "send it again"))
 		return nil, false
 	}
-	s.metrics.received.Add(float64(len(request)))
+	s.metrics.received.WithLabelValues(s.knownMethod(mux.Vars(r)["method"])).Add(float64(len(request)))
 	whole, _, known := restore(request)
 	if !known {
 		writeFault(w, http.StatusPreconditionRequired, fault.New(fault.Invalid, "unknown peer schema", "send the message whole"))
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -14,10 +14,19 @@
 	Registry *prometheus.Registry
 	Requests *forward.Metrics
 	Dials    prometheus.Counter
-	Table    *prometheus.CounterVec // by call
-	Relayed  prometheus.Counter     // calls to the table that other nodes were asked for
+	Looks    prometheus.Counter // whether a worker takes connections
+	Relayed  prometheus.Counter // calls to the table that other nodes were asked for
+
+	tableCalls *prometheus.CounterVec // by call and table
+	tableBytes *prometheus.CounterVec // by what connections carry, and direction
 }
 
+// Directions of bytes.
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
 // NewMetrics returns metrics in a registry of their own.
 func NewMetrics() *Metrics {
 	registry := prometheus.NewRegistry()
@@ -25,13 +34,28 @@
 		Registry: registry,
 		Requests: forward.NewMetrics(registry),
 		Dials:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_connections_total", Help: "New connections to workers."}),
-		Table:    prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_calls_total", Help: "Calls to the table."}, []string{"call"}),
+		Looks:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_looks_total", Help: "Looks whether a silent worker takes connections."}),
 	}
+	m.tableCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_calls_total", Help: "Calls to the table by what they do and to which table."}, []string{"call", "table"})
+	m.tableBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_bytes_total", Help: "Bytes on connections to the table by what these carry: feeds is control, calls is work."}, []string{"carries", "direction"})
 	m.Relayed = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
-	registry.MustRegister(m.Dials, m.Table, m.Relayed)
+	registry.MustRegister(m.Dials, m.Looks, m.Relayed, m.tableCalls, m.tableBytes)
 	return m
 }
 
+// TableCall counts a call to the table.
+func (m *Metrics) TableCall(call, table string) { m.tableCalls.WithLabelValues(call, table).Inc() }
+
+// TableBytes counts bytes on connections to the table.
+func (m *Metrics) TableBytes(carries string, sent, received int) {
+	if sent > 0 {
+		m.tableBytes.WithLabelValues(carries, directionSent).Add(float64(sent))
+	}
+	if received > 0 {
+		m.tableBytes.WithLabelValues(carries, directionReceived).Add(float64(received))
+	}
+}
+
 // MetricsPath is where metrics are told as text.
 const MetricsPath = "/metrics"
 
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
@@ -53,7 +54,7 @@
 	transport peer.Transport
 }
 
-func newPeers(address string, network PeerNetwork) *peers {
+func newPeers(address string, network PeerNetwork, registerer prometheus.Registerer) *peers {
 	p := &peers{address: address, network: network, mux: peer.NewMux()}
 	p.options = peer.Options{
 		Keys:        peer.NewKeys(peerKey),
@@ -61,6 +62,7 @@
 		MaxResponse: maxPeerAnswer,
 		DialTimeout: peerDialTimeout,
 		IdleTimeout: peerIdleTimeout,
+		Registerer:  registerer,
 	}
 	if network != nil {
 		p.transport = network.Transport(peer.Address(address))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -110,8 +110,9 @@
 		DialTimeout: options.DialTimeout,
 		Dial:        options.Dial,
 		OnDial:      options.Metrics.Dials.Inc,
+		OnLook:      options.Metrics.Looks.Inc,
 	})
-	peers := newPeers(options.Settings.Peers, options.PeerNetwork)
+	peers := newPeers(options.Settings.Peers, options.PeerNetwork, options.Metrics.Registry)
 	relays := &relays{transport: peers.transport, patience: gate.Patience, count: options.Metrics.Relayed.Inc}
 	table := store.Store(gate)
 	if peers.address != "" {
