Directory of programs by hashing: a node finds who holds a program's tokens without the table

And when the table is down, a node asks 16 of the 32 nodes that it has met, of 295: programs under way can't move then. At 11 nodes that was no matter; it grows with nodes. Change: 64 slots in the table, each kept by one process; a node that has not read a program's rows asks the keeper of its slot by one message (internal/directory), which tells who had turns of it and whether the table has refused one within the second. Hints only: a wrong one costs a call. Slots of dead keepers are taken over by whoever misses them, by a conditional transaction; a node that hears nobody takes nothing. Ruled out: asking more nodes around (295 messages a turn); a row for each node (10 MB of reads a start).

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -113,6 +113,17 @@
 	return a.home
 }
 
+// learnt reports whether any of the account's rows was read. The caller holds the
+// turn.
+func (a *account) learnt() bool {
+	for _, share := range a.shares {
+		if share.seen {
+			return true
+		}
+	}
+	return false
+}
+
 // noteSpent notes the table's word that the budget is spent.
 func (a *account) noteSpent() {
 	a.mutex.Lock()
@@ -120,6 +131,13 @@
 	a.spent = time.Now()
 }
 
+// wasSpent reports whether the table has said before that the budget is spent.
+func (a *account) wasSpent() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return !a.spent.IsZero()
+}
+
 // stillSpent repeats the table's word of a moment ago. The caller holds the turn.
 func (a *account) stillSpent(budget, tokens int) error {
 	a.mutex.Lock()
--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -28,6 +28,30 @@
 	Store store.Store
 	Self  Holder
 	Peers Peers // nil: no other node is asked
+	// Locator tells who had turns of a program; nil: only the table does.
+	Locator Locator
+}
+
+// Located is what is known of a program without the table. It may be wrong or missing.
+type Located struct {
+	Holders []Holder // other processes that had turns of the program, the newest first
+	// Spent is the size of a turn that the table has lately refused to some process,
+	// and SpentAgo how long ago; no Spent means that it has refused none.
+	Spent    int
+	SpentAgo time.Duration
+}
+
+// spent reports whether the table would refuse a turn, by its word of a moment ago.
+func (l Located) spent(tokens int) bool {
+	return l.Spent > 0 && tokens >= l.Spent && l.SpentAgo < spentFor
+}
+
+// Locator tells what other processes have learnt of a program.
+type Locator interface {
+	// Locate also notes that this process has a turn of the program.
+	Locate(ctx context.Context, program string) Located
+	// NoteSpent notes that the table has refused a turn of that size.
+	NoteSpent(program string, tokens int)
 }
 
 // Book holds the accounts that this node works with.
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -57,7 +57,8 @@
 }
 
 // drawOnce asks the nodes that are known to hold tokens, and then each share
-// once. It fails with fault.BudgetExhausted if all shares were read and are used
+// once. A node that has not read the program's rows yet, or cannot, has others
+// named by the locator first. It fails with fault.BudgetExhausted if all shares were read and are used
 // up, and no node handed over what lacks or may still do so.
 func (b *Book) drawOnce(ctx context.Context, account *account, claim Claim, inquiry *inquiry) (taken bool, failure error) {
 	budget, tokens := claim.Budget, claim.Tokens
@@ -71,12 +72,22 @@
 		return false, err
 	}
 	b.ask(ctx, account, tokens, inquiry)
+	if !account.learnt() || account.wasSpent() {
+		located := b.locate(ctx, account, tokens, inquiry)
+		if account.take(tokens) {
+			return true, nil
+		}
+		if located.spent(tokens) && !b.mayComeBack(account) {
+			return false, spentError(0, budget, tokens)
+		}
+	}
 	for _, index := range drawOrder {
 		limited, cancel := context.WithTimeout(ctx, shareWait)
 		err := b.drawFrom(limited, account, index, claim, inquiry)
 		cancel()
 		if err != nil {
 			failure = err
+			b.locate(ctx, account, tokens, inquiry)
 			if !claim.Kept {
 				b.askAround(ctx, account, tokens, inquiry)
 			}
@@ -95,6 +106,9 @@
 		return false, errHolderSilent
 	}
 	account.noteSpent()
+	if b.options.Locator != nil {
+		b.options.Locator.NoteSpent(account.program, tokens)
+	}
 	return false, spentError(account.left(budget), budget, tokens)
 }
 
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -62,9 +62,10 @@
 
 // inquiry is one turn's asking around.
 type inquiry struct {
-	asked  []string // processes
-	handed bool     // tokens came of it
-	around bool     // all nodes met lately were asked
+	asked   []string // processes
+	handed  bool     // tokens came of it
+	located bool     // the locator was asked
+	around  bool     // all nodes met lately were asked
 }
 
 // ask asks the nodes that may hold tokens of the program, the newest first, until
@@ -88,6 +89,22 @@
 	}
 }
 
+// locate asks the nodes that the locator names, once in an inquiry.
+func (b *Book) locate(ctx context.Context, account *account, tokens int, inquiry *inquiry) (located Located) {
+	if b.options.Locator == nil || inquiry.located || account.lacks(tokens) <= 0 {
+		return Located{}
+	}
+	inquiry.located = true
+	located = b.options.Locator.Locate(ctx, account.program)
+	for _, holder := range slices.Backward(located.Holders) { // an account notes the newest last
+		account.noteHolders(holder)
+	}
+	if len(located.Holders) > 0 {
+		b.ask(ctx, account, tokens, inquiry)
+	}
+	return located
+}
+
 // askAround asks the nodes met lately, all at once, when the table does not say
 // which of them had the program: programs under way go on while it is down.
 func (b *Book) askAround(ctx context.Context, account *account, tokens int, inquiry *inquiry) {
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,229 @@
+// Package directory tells a node which other processes have had turns of a program
+// lately, by one message and without the table. Programs fall into slots by a hash
+// of their name; each slot is kept by one process, which remembers who asked for
+// the slot's programs. The table says which process keeps which slot.
+//
+// What a directory says is a hint. A wrong or missing one costs a call to the table
+// and breaks no promise, so entries are kept in memory only and a slot changes
+// hands without a lease.
+package directory
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/store"
+)
+
+const (
+	// slots is the number of slots. At the size to build towards (420 nodes, 150,000
+	// programs) it is one node in seven, and 2,300 programs a slot.
+	slots = 64
+	// locateWait is how long a keeper is waited for. A message between nodes takes 1
+	// to 3 ms, a call to the table about 12 ms.
+	locateWait = 30 * time.Millisecond
+	// forgetAfter is how long a program may rest before its entry is dropped; the
+	// same as for an account of the budget.
+	forgetAfter = 3 * time.Minute
+	// maxEntries bounds the programs that a process remembers: 10 MB at most.
+	maxEntries = 50_000
+	// maxHolders is how many processes an entry remembers; no turn asks more.
+	maxHolders = 4
+)
+
+// Request tells the keeper of a slot of a turn of a program, and asks what it knows.
+type Request struct {
+	Process string // that is asked; another one at its address is not the keeper
+	Program string
+	From    budget.Holder // the asker, who has a turn of the program now
+	Spent   int           // size of the turn that the table has just refused to it; 0: none
+}
+
+// Answer is what the keeper knows.
+type Answer struct {
+	Keeper  bool // the process asked keeps the program's slot
+	Located budget.Located
+}
+
+// Peers asks other nodes.
+type Peers interface {
+	Locate(ctx context.Context, address string, request Request) (Answer, error)
+}
+
+// Options of a Directory.
+type Options struct {
+	Store  store.Store
+	Self   budget.Holder
+	Peers  Peers
+	Logger log.Interface
+}
+
+// Directory is this process's view of the slots, and the entries of those it keeps.
+type Directory struct {
+	options Options
+	wake    chan struct{} // the view of the slots is in doubt
+
+	mutex    sync.Mutex
+	keepers  [slots]keeper
+	revision store.Version     // of the newest change of a slot that was taken over
+	whole    bool              // all slots were read
+	doubts   map[int]doubt     // slots whose keeper did not answer
+	heard    time.Time         // when another keeper last answered
+	entries  map[string]*entry // by program
+	swept    time.Time
+}
+
+// keeper is who keeps a slot, as the table says. Its zero value is a vacant slot.
+type keeper struct {
+	budget.Holder
+	revision store.Version
+}
+
+// entry is what is remembered of a program.
+type entry struct {
+	holders []budget.Holder // the newest last
+	used    time.Time
+	spent   int // size of the last turn that the table refused; 0: none
+	spentAt time.Time
+}
+
+// located is what an entry tells a process.
+func (e *entry) located(asker budget.Holder, now time.Time) (located budget.Located) {
+	for _, holder := range slices.Backward(e.holders) {
+		if holder != asker {
+			located.Holders = append(located.Holders, holder)
+		}
+	}
+	if e.spent > 0 {
+		located.Spent, located.SpentAgo = e.spent, now.Sub(e.spentAt)
+	}
+	return located
+}
+
+// note takes in a process's turn.
+func (e *entry) note(asker budget.Holder, spent int, now time.Time) {
+	e.used = now
+	e.holders = slices.DeleteFunc(e.holders, func(holder budget.Holder) bool { return holder == asker })
+	if len(e.holders) == maxHolders {
+		e.holders = slices.Delete(e.holders, 0, 1)
+	}
+	e.holders = append(e.holders, asker)
+	if spent > 0 {
+		e.spent, e.spentAt = spent, now
+	}
+}
+
+// New returns a directory that knows no slot yet.
+func New(options Options) *Directory {
+	return &Directory{
+		options: options,
+		wake:    make(chan struct{}, 1),
+		doubts:  map[int]doubt{},
+		entries: map[string]*entry{},
+		swept:   time.Now(),
+	}
+}
+
+// Locate implements budget.Locator. It tells nothing if the keeper of the program's
+// slot is not known or does not answer.
+func (d *Directory) Locate(ctx context.Context, program string) budget.Located {
+	return d.tell(ctx, Request{Program: program, From: d.options.Self})
+}
+
+// NoteSpent implements budget.Locator. It does not wait for the keeper.
+func (d *Directory) NoteSpent(program string, tokens int) {
+	go d.tell(context.Background(), Request{Program: program, From: d.options.Self, Spent: tokens})
+}
+
+// tell tells the keeper of a program's slot of a turn.
+func (d *Directory) tell(ctx context.Context, request Request) budget.Located {
+	slot := slotOf(request.Program)
+	asked, ok := d.keeperToAsk(slot)
+	if !ok {
+		return budget.Located{}
+	}
+	request.Process = asked.Process
+	if asked.Process == d.options.Self.Process {
+		return d.Answer(request).Located
+	}
+	limited, cancel := context.WithTimeout(ctx, locateWait)
+	defer cancel()
+	answer, err := d.options.Peers.Locate(limited, asked.Address, request)
+	if ctx.Err() != nil {
+		return budget.Located{}
+	}
+	if err != nil || !answer.Keeper {
+		d.doubt(slot, asked)
+		return budget.Located{}
+	}
+	d.noteHeard(slot)
+	return answer.Located
+}
+
+// Answer answers another node.
+func (d *Directory) Answer(request Request) Answer {
+	if request.Process != d.options.Self.Process || !d.keeps(slotOf(request.Program)) {
+		return Answer{}
+	}
+	return Answer{Keeper: true, Located: d.take(request)}
+}
+
+func (d *Directory) keeps(slot int) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.keepers[slot].Process == d.options.Self.Process
+}
+
+// keeperToAsk is the keeper of a slot, unless there is none or it has just not
+// answered.
+func (d *Directory) keeperToAsk(slot int) (keeper, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.keepers[slot]
+	if known.Process == "" {
+		return keeper{}, false
+	}
+	doubted, ok := d.doubts[slot]
+	return known, !ok || doubted.process != known.Process || time.Since(doubted.last) >= askAgainAfter
+}
+
+// take notes a turn of a program, and returns what was known of the program before.
+func (d *Directory) take(request Request) budget.Located {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	d.sweep(now)
+	known, ok := d.entries[request.Program]
+	if !ok {
+		if len(d.entries) >= maxEntries {
+			return budget.Located{}
+		}
+		known = &entry{}
+		d.entries[request.Program] = known
+	}
+	located := known.located(request.From, now)
+	known.note(request.From, request.Spent, now)
+	return located
+}
+
+// sweep drops the entries of programs at rest, once in a while. The caller holds
+// the mutex.
+func (d *Directory) sweep(now time.Time) {
+	if now.Sub(d.swept) < forgetAfter/4 {
+		return
+	}
+	d.swept = now
+	for program, known := range d.entries {
+		if now.Sub(known.used) > forgetAfter {
+			delete(d.entries, program)
+		}
+	}
+}
+
+func slotOf(program string) int { return int(xxhash.Sum64String(program) % slots) }
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,275 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
+)
+
+var errDown = errors.New("nobody is there")
+
+// cluster is nodes with directories over one table.
+type cluster struct {
+	table   *storetest.Table
+	mutex   sync.Mutex
+	nodes   map[string]*Directory // by address
+	cancels map[string]context.CancelFunc
+	cut     map[string]bool // nodes that neither ask nor answer
+	starts  int
+}
+
+func newCluster(nodes int) *cluster {
+	c := &cluster{table: storetest.New(), nodes: map[string]*Directory{}, cancels: map[string]context.CancelFunc{}, cut: map[string]bool{}}
+	for index := range nodes {
+		c.start(address(index))
+	}
+	return c
+}
+
+func address(index int) string { return fmt.Sprintf("10.0.0.%d:1", index) }
+
+func (c *cluster) start(address string) *Directory {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.starts++
+	d := New(Options{
+		Store:  c.table,
+		Self:   budget.Holder{Process: fmt.Sprintf("p%d", c.starts), Address: address},
+		Peers:  clusterPeers{c, address},
+		Logger: &log.Logger{Handler: discard.New()},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.nodes[address], c.cancels[address] = d, cancel
+	go d.Run(ctx)
+	return d
+}
+
+// kill ends a process; nobody answers at its address.
+func (c *cluster) kill(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.cancels[address]()
+	delete(c.nodes, address)
+}
+
+func (c *cluster) stop() {
+	for _, cancel := range c.cancels {
+		cancel()
+	}
+	synctest.Wait()
+}
+
+func (c *cluster) node(index int) *Directory {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.nodes[address(index)]
+}
+
+// keepers counts the slots that each process keeps by its own view.
+func (c *cluster) keepers() (kept map[string]int, total int) {
+	kept = map[string]int{}
+	for _, d := range c.nodes {
+		for slot := range slots {
+			if d.keeps(slot) {
+				kept[d.options.Self.Process]++
+				total++
+			}
+		}
+	}
+	return kept, total
+}
+
+type clusterPeers struct {
+	cluster *cluster
+	from    string
+}
+
+// Locate implements Peers.
+func (p clusterPeers) Locate(_ context.Context, address string, request Request) (Answer, error) {
+	p.cluster.mutex.Lock()
+	d, ok := p.cluster.nodes[address]
+	apart := p.cluster.cut[address] || p.cluster.cut[p.from]
+	p.cluster.mutex.Unlock()
+	if !ok || apart {
+		return Answer{}, errDown
+	}
+	return d.Answer(request), nil
+}
+
+func programOf(index int) string { return fmt.Sprintf("program-%d", index) }
+
+func TestEverySlotIsKeptOnceAndAllNodesAgree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(12)
+		defer c.stop()
+		time.Sleep(8 * time.Second)
+		kept, total := c.keepers()
+		require.Equal(t, slots, total)
+		for process, count := range kept {
+			require.Less(t, count, 16, "process %s keeps too much", process)
+		}
+		for program := range 200 {
+			first, second := c.node(program%12), c.node((program+5)%12)
+			require.Empty(t, first.Locate(t.Context(), programOf(program)).Holders)
+			require.Equal(t, []budget.Holder{first.options.Self}, second.Locate(t.Context(), programOf(program)).Holders)
+			require.Equal(t, []budget.Holder{second.options.Self}, first.Locate(t.Context(), programOf(program)).Holders, "the newest first, oneself left out")
+		}
+	})
+}
+
+func TestCalmDirectoryHardlyCallsTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(12)
+		defer c.stop()
+		time.Sleep(10 * time.Second)
+		commits, reads := c.table.Calls()
+		for program := range 1000 {
+			c.node(program%12).Locate(t.Context(), programOf(program))
+		}
+		time.Sleep(60 * time.Second)
+		commitsAfter, readsAfter := c.table.Calls()
+		require.Equal(t, commits, commitsAfter)
+		require.LessOrEqual(t, readsAfter-reads, 12*6, "a look in 10 s a node at most")
+	})
+}
+
+// askAll lets all nodes ask for programs of all slots.
+func (c *cluster) askAll(ctx context.Context) {
+	c.mutex.Lock()
+	nodes := make([]*Directory, 0, len(c.nodes))
+	for _, d := range c.nodes {
+		nodes = append(nodes, d)
+	}
+	c.mutex.Unlock()
+	for _, d := range nodes {
+		for program := range 300 {
+			d.Locate(ctx, programOf(program))
+		}
+	}
+}
+
+func TestSlotsOfADeadKeeperAreTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(6)
+		defer c.stop()
+		time.Sleep(10 * time.Second)
+		c.kill(address(0))
+		for range 60 {
+			c.askAll(t.Context())
+			time.Sleep(500 * time.Millisecond)
+		}
+		_, total := c.keepers()
+		require.Equal(t, slots, total)
+	})
+}
+
+func TestNodeThatHearsNobodyTakesNothingOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(6)
+		defer c.stop()
+		time.Sleep(10 * time.Second)
+		before, _ := c.keepers()
+		alone := c.node(0)
+		c.mutex.Lock()
+		c.cut[address(0)] = true
+		c.mutex.Unlock()
+		for range 40 {
+			for program := range 300 {
+				alone.Locate(t.Context(), programOf(program))
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		after, _ := c.keepers()
+		require.Equal(t, before, after)
+	})
+}
+
+func TestRestartedProcessTakesItsSlotsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(6)
+		defer c.stop()
+		time.Sleep(10 * time.Second)
+		for index := range 6 {
+			c.kill(address(index))
+		}
+		for index := range 6 {
+			c.start(address(index))
+		}
+		time.Sleep(12 * time.Second)
+		_, total := c.keepers()
+		require.Equal(t, slots, total)
+	})
+}
+
+func TestLeavingNodeMakesItsSlotsVacant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(6)
+		defer c.stop()
+		time.Sleep(10 * time.Second)
+		leaving := c.node(0)
+		leaving.Leave(t.Context())
+		for slot := range slots {
+			require.False(t, leaving.keeps(slot))
+		}
+		c.kill(address(0))
+		for range 30 {
+			c.askAll(t.Context())
+			time.Sleep(500 * time.Millisecond)
+		}
+		_, total := c.keepers()
+		require.Equal(t, slots, total)
+	})
+}
+
+func TestDoubtfulClaimsEndWithOneKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4)
+		defer c.stop()
+		count := 0
+		c.table.SetFault(func(_ string, write bool) storetest.Fault {
+			count++
+			if write && count%3 == 0 {
+				return storetest.Applied
+			}
+			return storetest.None
+		})
+		time.Sleep(40 * time.Second)
+		c.table.SetFault(func(string, bool) storetest.Fault { return storetest.None })
+		time.Sleep(60 * time.Second)
+		_, total := c.keepers()
+		require.Equal(t, slots, total, "a claim whose answer was lost is learnt of")
+	})
+}
+
+func TestKeeperRemembersARefusedTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3)
+		defer c.stop()
+		time.Sleep(10 * time.Second)
+		c.node(0).NoteSpent("p", 580)
+		time.Sleep(300 * time.Millisecond)
+		located := c.node(1).Locate(t.Context(), "p")
+		require.Equal(t, 580, located.Spent)
+		require.Equal(t, 300*time.Millisecond, located.SpentAgo)
+	})
+}
+
+func TestUnreadableSlotIsVacant(t *testing.T) {
+	d := New(Options{Self: budget.Holder{Process: "p"}, Logger: &log.Logger{Handler: discard.New()}})
+	d.learnRow(store.Row{Key: store.Key{Name: "07"}, Value: []byte("?"), Version: 5})
+	d.learnRow(store.Row{Key: store.Key{Name: "99"}, Value: []byte("?"), Version: 5})
+	require.Contains(t, d.claimable(), 7)
+	require.Empty(t, d.Locate(t.Context(), programOf(1)))
+}
--- /dev/null
+++ b/internal/directory/slots.go
@@ -0,0 +1,258 @@
+package directory
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/wait"
+)
+
+// Table is the table's name for slots.
+const Table = "slots"
+
+// slotsPart is the part of the table in which all slots lie; they are a few KB.
+const slotsPart = "s"
+
+const (
+	// startSpread is over what time nodes that start together begin to claim slots.
+	startSpread = time.Second
+	// claimPause and refreshPause are the pause between two claims of a node while there are
+	// vacant slots: others get their share of them meanwhile.
+	claimPause = 100 * time.Millisecond
+	// pollEvery is the mean time between two looks at the table while all is well. It
+	// is how long a keeper that lost a slot unnoticed may believe to have it.
+	pollEvery = 20 * time.Second
+	// refreshPause is the least time between two looks.
+	refreshPause = 200 * time.Millisecond
+	// askAgainAfter is how long a keeper that did not answer is not asked.
+	askAgainAfter = 500 * time.Millisecond
+	// confirmAfter is for how long a keeper must have been silent before its slot is
+	// taken over, and confirmAsked how often it must have been asked.
+	confirmAfter = time.Second
+	confirmAsked = 2
+	// heardWithin is how lately some keeper must have answered: a node that nobody
+	// answers is itself cut off, and takes nothing over.
+	heardWithin = 2 * time.Second
+	// callTimeout bounds one call to the table.
+	callTimeout = time.Second
+)
+
+// doubt is what is known of a keeper that did not answer.
+type doubt struct {
+	process string
+	since   time.Time
+	last    time.Time
+	asked   int
+}
+
+// confirmed reports whether the keeper has been silent for long enough.
+func (t doubt) confirmed(now time.Time) bool {
+	return t.asked >= confirmAsked && now.Sub(t.since) >= confirmAfter
+}
+
+// row is what the table keeps of a slot. One without a process is vacant.
+type row struct {
+	Process string
+	Address string
+}
+
+func (d *Directory) doubt(slot int, asked keeper) {
+	d.mutex.Lock()
+	now := time.Now()
+	known := d.doubts[slot]
+	if known.process != asked.Process {
+		known = doubt{process: asked.Process, since: now}
+	}
+	known.asked++
+	known.last = now
+	d.doubts[slot] = known
+	d.mutex.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Directory) noteHeard(slot int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.heard = time.Now()
+	delete(d.doubts, slot)
+}
+
+// Run keeps the view of the slots up to date and claims those that nobody keeps,
+// until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	if wait.For(ctx, rand.N(startSpread)) != nil {
+		return
+	}
+	for {
+		pause := pollEvery
+		if err := d.refresh(ctx); err != nil {
+			pause = claimPause
+		} else if d.claimOne(ctx) {
+			pause = claimPause
+		}
+		if wait.For(ctx, refreshPause) != nil {
+			return
+		}
+		timer := time.NewTimer(pause/2 + rand.N(pause))
+		select {
+		case <-ctx.Done():
+		case <-d.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// refresh takes over what has changed in the table.
+func (d *Directory) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	d.mutex.Lock()
+	whole, revision := d.whole, d.revision
+	d.mutex.Unlock()
+	if !whole {
+		return d.readWhole(ctx)
+	}
+	page, err := d.options.Store.Watch(ctx, Table, revision, 0)
+	if errors.Is(err, store.ErrHistoryGone) {
+		return d.readWhole(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	d.learn(page)
+	return nil
+}
+
+func (d *Directory) readWhole(ctx context.Context) error {
+	page, err := d.options.Store.Range(ctx, Table, slotsPart, "", "", 0)
+	if err != nil {
+		return err
+	}
+	d.learn(page)
+	d.mutex.Lock()
+	d.whole = true
+	d.mutex.Unlock()
+	return nil
+}
+
+// learn takes over newer rows.
+func (d *Directory) learn(page store.Page) {
+	for _, stored := range page.Rows {
+		d.learnRow(stored)
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.revision = max(d.revision, page.Version)
+}
+
+func (d *Directory) learnRow(stored store.Row) {
+	slot, err := strconv.Atoi(stored.Name)
+	if err != nil || slot < 0 || slot >= slots {
+		return // of a version with more slots
+	}
+	var told row
+	if !stored.Gone && stored.Version != 0 {
+		if err := gob.NewDecoder(bytes.NewReader(stored.Value)).Decode(&told); err != nil {
+			d.options.Logger.WithError(err).WithField("slot", slot).Error("directory slot not understood, taken as vacant; run the same version on all nodes")
+		}
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	before := d.keepers[slot]
+	if stored.Version < before.revision {
+		return
+	}
+	d.keepers[slot] = keeper{Holder: budget.Holder(told), revision: stored.Version}
+	if before.Process == d.options.Self.Process && told.Process != before.Process {
+		d.options.Logger.WithField("slot", slot).WithField("keeper", told.Process).WithField("revision", uint64(stored.Version)).Info("directory slot lost")
+	}
+}
+
+// claimOne claims a slot that nobody keeps. It reports whether there may be more.
+func (d *Directory) claimOne(ctx context.Context) bool {
+	claimable := d.claimable()
+	if len(claimable) == 0 {
+		return false
+	}
+	slot := claimable[rand.IntN(len(claimable))]
+	if err := d.put(ctx, slot, row(d.options.Self), "directory slot taken"); err != nil && ctx.Err() == nil {
+		d.options.Logger.WithError(err).WithField("slot", slot).Warn("directory slot not taken, trying again")
+	}
+	return true
+}
+
+// claimable lists the slots that are vacant, that an earlier process of this node
+// kept, or whose keeper has not answered for long enough.
+func (d *Directory) claimable() (claimable []int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	connected := now.Sub(d.heard) < heardWithin
+	for slot, known := range d.keepers {
+		doubted, ok := d.doubts[slot]
+		silent := ok && doubted.process == known.Process && doubted.confirmed(now)
+		earlier := known.Address == d.options.Self.Address && known.Process != d.options.Self.Process
+		if known.Process == "" || earlier || connected && silent {
+			claimable = append(claimable, slot)
+		}
+	}
+	return claimable
+}
+
+// put writes a slot's row over the one that is known. If another node was faster,
+// its row is learnt and nothing happens.
+func (d *Directory) put(ctx context.Context, slot int, next row, event string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var encoded bytes.Buffer
+	if err := gob.NewEncoder(&encoded).Encode(next); err != nil {
+		return err
+	}
+	d.mutex.Lock()
+	before := d.keepers[slot]
+	d.mutex.Unlock()
+	key := store.Key{Table: Table, Part: slotsPart, Name: fmt.Sprintf("%02d", slot)}
+	version, err := d.options.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: key, Version: before.revision}},
+		Put:        []store.Row{{Key: key, Value: encoded.Bytes()}},
+	})
+	var refused *store.Conflict
+	if errors.As(err, &refused) {
+		d.learnRow(refused.Find(key))
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	d.mutex.Lock()
+	d.keepers[slot] = keeper{Holder: budget.Holder(next), revision: version}
+	delete(d.doubts, slot)
+	d.mutex.Unlock()
+	d.options.Logger.WithField("slot", slot).WithField("before", before.Process).WithField("revision", uint64(version)).Info(event)
+	return nil
+}
+
+// Leave makes the slots that this process keeps vacant, as far as ctx allows.
+func (d *Directory) Leave(ctx context.Context) {
+	for slot := range slots {
+		if !d.keeps(slot) {
+			continue
+		}
+		if err := d.put(ctx, slot, row{}, "directory slot left"); err != nil {
+			d.options.Logger.WithError(err).WithField("slot", slot).Warn("directory slot not left; another node takes it over when this one is missed")
+			return
+		}
+	}
+}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/directory"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
@@ -22,6 +23,8 @@
 	// methodCommit and methodRange ask a node to call the table.
 	methodCommit = "table.commit"
 	methodRange  = "table.range"
+	// methodLocate asks the keeper of a directory slot who had turns of a program.
+	methodLocate = "directory.locate"
 )
 
 // peerKey keeps strangers of other systems out. It is no secret: what a node hands
@@ -80,6 +83,14 @@
 	return budgetPeers{p.transport}
 }
 
+// locates returns how keepers of directory slots are asked; nil if they are not.
+func (p *peers) locates() directory.Peers {
+	if p.address == "" {
+		return nil
+	}
+	return directoryPeers{p.transport}
+}
+
 // neighbours returns how chains are asked for; nil if they are not.
 func (p *peers) neighbours() forward.Neighbours {
 	if p.address == "" {
@@ -98,7 +109,10 @@
 type chainAnswer struct{ Turns []*history.Turn }
 
 // handle sets what other nodes are answered.
-func (p *peers) handle(process string, book *budget.Book, keeper *history.Keeper) {
+func (p *peers) handle(process string, book *budget.Book, keeper *history.Keeper, programs *directory.Directory) {
+	peer.Handle(p.mux, methodLocate, func(_ context.Context, request directory.Request) (directory.Answer, error) {
+		return programs.Answer(request), nil
+	})
 	peer.Handle(p.mux, methodHandOver, func(ctx context.Context, request budget.HandOverRequest) (budget.HandOverAnswer, error) {
 		return book.HandOver(ctx, request), nil
 	})
@@ -142,6 +156,14 @@
 	return peer.Invoke[budget.HandOverAnswer](ctx, p.transport, peer.Address(address), methodHandOver, request)
 }
 
+// directoryPeers implements directory.Peers over messages between nodes.
+type directoryPeers struct{ transport peer.Transport }
+
+// Locate implements directory.Peers.
+func (p directoryPeers) Locate(ctx context.Context, address string, request directory.Request) (directory.Answer, error) {
+	return peer.Invoke[directory.Answer](ctx, p.transport, peer.Address(address), methodLocate, request)
+}
+
 // neighbours implements forward.Neighbours over messages between nodes.
 type neighbours struct{ transport peer.Transport }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/directory"
 	"github.com/cloverwheel/cloverwheel/internal/follow"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/history"
@@ -77,6 +78,7 @@
 	listed    atomic.Bool // the list of workers is known
 	sweeper   *sweep.Sweeper
 	budgets   *budget.Book
+	programs  *directory.Directory
 	peers     *peers
 	drain     chan struct{}
 	inFlight  atomic.Int64 // bytes of bodies
@@ -118,21 +120,25 @@
 	if peers.address != "" {
 		table = store.NewRelayed(gate, relays, options.Logger)
 	}
+	self := budget.Holder{Process: options.Process, Address: options.Settings.Peers}
+	programs := directory.New(directory.Options{Store: gate, Self: self, Peers: peers.locates(), Logger: options.Logger})
 	budgets := budget.NewBook(budget.Options{
-		Store: table,
-		Self:  budget.Holder{Process: options.Process, Address: options.Settings.Peers},
-		Peers: peers.budgets(),
+		Store:   table,
+		Self:    self,
+		Peers:   peers.budgets(),
+		Locator: programs,
 	})
 	keeper := history.New(history.Options{Store: table, CacheBytes: int(options.Settings.MemoryBytes / memoryForHistory)})
 	relays.known = budgets.Met
-	peers.handle(options.Process, budgets, keeper)
+	peers.handle(options.Process, budgets, keeper, programs)
 	handleRelayed(peers.mux, options.Process, gate)
 	return &Server{
-		options: options,
-		workers: workers,
-		budgets: budgets,
-		peers:   peers,
-		drain:   make(chan struct{}),
+		options:  options,
+		workers:  workers,
+		budgets:  budgets,
+		programs: programs,
+		peers:    peers,
+		drain:    make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
 			Store:  gate,
 			Tables: []sweep.Table{{Name: budget.Table, Parts: budget.Parts()}, {Name: history.Table, Parts: history.Parts()}},
@@ -191,7 +197,11 @@
 			return nil
 		})
 	}
-	for _, run := range []func(context.Context){s.sweeper.Run, s.workers.Run, s.notePauses} {
+	runs := []func(context.Context){s.sweeper.Run, s.workers.Run, s.notePauses}
+	if s.peers.address != "" {
+		runs = append(runs, s.programs.Run)
+	}
+	for _, run := range runs {
 		group.Go(func() error {
 			run(ctx)
 			return nil
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -16,7 +16,7 @@
 	leaveShare = 0.32
 	// exitMargin is what is left of the grace when the last requests are cut.
 	exitMargin = 400 * time.Millisecond
-	// giveBackTime of that bounds giving tokens back.
+	// giveBackTime of that bounds leaving slots and giving tokens back.
 	giveBackTime = 300 * time.Millisecond
 )
 
@@ -39,14 +39,15 @@
 	}
 }
 
-// giveBack returns to the table the tokens that the node holds, when it stops as
-// planned.
+// giveBack leaves the node's directory slots and returns to the table the tokens
+// that it holds, when it stops as planned.
 func (s *Server) giveBack(ctx context.Context) {
 	if !s.Draining() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, giveBackTime)
 	defer cancel()
+	s.programs.Leave(ctx)
 	begun := time.Now()
 	returned := s.budgets.GiveBack(ctx)
 	s.options.Logger.WithField("tokens", returned).WithField("ms", time.Since(begun).Milliseconds()).Info("tokens given back")
