A call that waits for changes lasts as long as the site allows a lost answer to go unnoticed

The 2 s hold because a lost answer is noticed at a call's end only, and a small site wants its nodes up to date 3 s after trouble; a large one says 5 s. Change: the call lasts as long as the site's own figure allows (contactMs less the wait for an answer and the time to call again): 4 s at the large sites, 2 s as before where it says 3 s or nothing. Ruled out: longer calls with TCP keep-alive (a lost answer leaves its connection up). Tests: TestCallsLastAsLongAsFreshnessAllows (31 calls a minute before, 16 now), TestLostAnswerIsNoticedInTime.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -16,11 +16,12 @@
 )
 
 const (
-	// watchFor is how long one call waits for a change. An answer that is lost
-	// costs at most this and answerWait.
-	watchFor = 2 * time.Second
+	// shortestWatch is how long one call waits for a change where nothing allows more.
+	shortestWatch = 2 * time.Second
 	// answerWait is how long the table has to answer beyond that.
 	answerWait = 700 * time.Millisecond
+	// reconnectTime is how long the next call may take after one without an answer.
+	reconnectTime = 300 * time.Millisecond
 	// firstPause and longestPause bound the jittered pauses after failures.
 	firstPause   = 30 * time.Millisecond
 	longestPause = 400 * time.Millisecond
@@ -37,6 +38,10 @@
 	Replace func(rows []store.Row)
 	// Change takes over changed rows.
 	Change func(rows []store.Row)
+	// Fresh is how soon after trouble with the table this process must be up to date
+	// again; 0 if nothing is said. A call whose answer is lost is noticed only at its
+	// end, so it waits for less than that.
+	Fresh time.Duration
 	// Gather is how long changes are let gather before they are asked for again;
 	// it bounds the calls for a table that changes all the time.
 	Gather time.Duration
@@ -76,7 +81,7 @@
 	if !f.whole {
 		return f.readWhole(ctx)
 	}
-	patience := watchFor
+	patience := f.watchFor()
 	if !f.lost.IsZero() {
 		patience = 0
 	}
@@ -99,6 +104,11 @@
 	return nil
 }
 
+// watchFor is how long one call waits for a change.
+func (f *Follower) watchFor() time.Duration {
+	return max(shortestWatch, f.options.Fresh-answerWait-reconnectTime)
+}
+
 // readWhole reads all pages, and takes each over as it comes. Changes after the
 // first page are followed next, so a row that changed between two pages ends up
 // right.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -179,3 +179,35 @@
 		require.Len(t, p.rows, 60)
 	})
 }
+
+// TestCallsLastAsLongAsFreshnessAllows: an idle table is asked as seldom as a lost
+// answer may go unnoticed.
+func TestCallsLastAsLongAsFreshnessAllows(t *testing.T) {
+	for fresh, most := range map[time.Duration]int{0: 31, 3 * time.Second: 31, 5 * time.Second: 16} {
+		synctest.Test(t, func(t *testing.T) {
+			table := storetest.New()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			nothing := func([]store.Row) {}
+			follower := New(Options{
+				Store: table, Table: "t", Replace: nothing, Change: nothing, Fresh: fresh,
+				Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
+			})
+			go follower.Run(ctx)
+			time.Sleep(time.Minute)
+			_, reads := table.Calls()
+			require.LessOrEqual(t, reads, most, "fresh within %v", fresh)
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
+// TestLostAnswerIsNoticedInTime: a call that is never answered is given up before
+// the process must be up to date.
+func TestLostAnswerIsNoticedInTime(t *testing.T) {
+	for _, fresh := range []time.Duration{3 * time.Second, 5 * time.Second, 8 * time.Second} {
+		follower := New(Options{Fresh: fresh})
+		require.Less(t, follower.watchFor()+answerWait, fresh)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -37,6 +37,9 @@
 	Peers       string // IP:PORT for other nodes; empty: this node does not talk to them
 	MemoryBytes int64  // that the process may use; 0: not limited
 	Grace       time.Duration
+	// Fresh is how soon after trouble with the table the node must know its newest
+	// state again; 0: not said.
+	Fresh time.Duration
 }
 
 // Records decodes the rows of the tables that are followed.
@@ -266,6 +269,7 @@
 			Table:   s.options.Records.ConfigurationTable,
 			Replace: s.takeConfigurations,
 			Change:  s.takeConfigurations,
+			Fresh:   s.options.Settings.Fresh,
 			Logger:  s.options.Logger,
 		}),
 		follow.New(follow.Options{
@@ -273,6 +277,7 @@
 			Table:   s.options.Records.WorkersTable,
 			Replace: s.replaceWorkers,
 			Change:  s.changeWorkers,
+			Fresh:   s.options.Settings.Fresh,
 			Gather:  gatherWorkers,
 			Logger:  s.options.Logger,
 		}),
