Another node's word that the table has refused a turn counts for 5 s

Change: it counts for 5 s. What became free meanwhile lies at nodes that had turns, which are asked first; a node that gives tokens back to the table withdraws the word. Test: TestReturnedTokensWithdrawTheRefusal, TestSpentBudgetIsReadByOneNode.

--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -43,7 +43,7 @@
 
 // spent reports whether the table would refuse a turn, by its word of a moment ago.
 func (l Located) spent(tokens int) bool {
-	return l.Spent > 0 && tokens >= l.Spent && l.SpentAgo < spentFor
+	return l.Spent > 0 && tokens >= l.Spent && l.SpentAgo < othersSpentFor
 }
 
 // Locator tells what other processes have learnt of a program.
@@ -52,6 +52,9 @@
 	Locate(ctx context.Context, program string) Located
 	// NoteSpent notes that the table has refused a turn of that size.
 	NoteSpent(program string, tokens int)
+	// NoteReturned notes that tokens were given back to the table, so that an earlier
+	// refusal says nothing any more.
+	NoteReturned(ctx context.Context, program string)
 }
 
 // Book holds the accounts that this node works with.
@@ -217,5 +220,8 @@
 		returned += found.returned
 		tokens += found.drawn - found.returned - found.doubtful
 	}
+	if returned > 0 && b.options.Locator != nil {
+		b.options.Locator.NoteReturned(ctx, account.program)
+	}
 	return returned
 }
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -18,6 +18,10 @@
 	aheadShare = 6
 	// spentFor is for how long a budget that was spent is taken to be so.
 	spentFor = time.Second
+	// othersSpentFor is for how long another node's word that the table has refused a
+	// turn counts. Tokens that became free since are at the nodes that had turns of
+	// the program, which are asked first; a node that gives tokens back withdraws it.
+	othersSpentFor = 5 * time.Second
 	// shareWait is how long one share is waited for before the next is tried.
 	shareWait = 130 * time.Millisecond
 	// roundPause is the pause after a round in which no share said enough.
--- a/internal/budget/locate_test.go
+++ b/internal/budget/locate_test.go
@@ -40,6 +40,9 @@
 	l.spent[program], l.spentAt[program] = tokens, time.Now()
 }
 
+// NoteReturned implements Locator.
+func (l locating) NoteReturned(_ context.Context, program string) { delete(l.spent, program) }
+
 // locatingBooks are books that share a directory and do not know of each other.
 func locatingBooks(table *storetest.Table, count int) (books []*Book, asks *int) {
 	nodes := newCluster(table)
@@ -121,7 +124,7 @@
 		}
 		commitsAfter, readsAfter := table.Calls()
 		require.Equal(t, []int{commits, reads}, []int{commitsAfter, readsAfter}, "the others repeat the table's word of a moment ago")
-		time.Sleep(spentFor)
+		time.Sleep(othersSpentFor)
 		_, err = books[5].Reserve(t.Context(), claim)
 		require.True(t, fault.Is(err, fault.BudgetExhausted))
 		commitsLater, readsLater := table.Calls()
@@ -138,3 +141,19 @@
 		reservation.Settle(300, "w1")
 	})
 }
+
+func TestReturnedTokensWithdrawTheRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		books, _ := locatingBooks(storetest.New(), 3)
+		claim := Claim{Program: "p", Budget: 600, Tokens: 600}
+		reservation, err := books[0].Reserve(t.Context(), claim)
+		require.NoError(t, err)
+		_, err = books[1].Reserve(t.Context(), claim)
+		require.True(t, fault.Is(err, fault.BudgetExhausted), "all is reserved")
+		reservation.Settle(0, "")
+		require.Equal(t, 600, books[0].GiveBack(t.Context()))
+		reservation, err = books[2].Reserve(t.Context(), claim)
+		require.NoError(t, err, "the refusal of a moment ago no longer holds")
+		reservation.Settle(600, "w1")
+	})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -43,6 +43,8 @@
 	Program string
 	From    budget.Holder // the asker, who has a turn of the program now
 	Spent   int           // size of the turn that the table has just refused to it; 0: none
+	// Returned says that the asker has just given tokens back to the table.
+	Returned bool
 }
 
 // Answer is what the keeper knows.
@@ -107,16 +109,21 @@
 }
 
 // note takes in a process's turn.
-func (e *entry) note(asker budget.Holder, spent int, now time.Time) {
+func (e *entry) note(request Request, now time.Time) {
+	asker := request.From
 	e.used = now
+	if request.Spent > 0 {
+		e.spent, e.spentAt = request.Spent, now
+	}
+	if request.Returned {
+		e.spent = 0
+		return // the asker stops
+	}
 	e.holders = slices.DeleteFunc(e.holders, func(holder budget.Holder) bool { return holder == asker })
 	if len(e.holders) == maxHolders {
 		e.holders = slices.Delete(e.holders, 0, 1)
 	}
 	e.holders = append(e.holders, asker)
-	if spent > 0 {
-		e.spent, e.spentAt = spent, now
-	}
 }
 
 // New returns a directory that knows no slot yet.
@@ -141,6 +148,11 @@
 	go d.tell(context.Background(), Request{Program: program, From: d.options.Self, Spent: tokens})
 }
 
+// NoteReturned implements budget.Locator.
+func (d *Directory) NoteReturned(ctx context.Context, program string) {
+	d.tell(ctx, Request{Program: program, From: d.options.Self, Returned: true})
+}
+
 // tell tells the keeper of a program's slot of a turn.
 func (d *Directory) tell(ctx context.Context, request Request) budget.Located {
 	slot := slotOf(request.Program)
@@ -208,7 +220,7 @@
 		d.entries[request.Program] = known
 	}
 	located := known.located(request.From, now)
-	known.note(request.From, request.Spent, now)
+	known.note(request, now)
 	return located
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -263,6 +263,8 @@
 		located := c.node(1).Locate(t.Context(), "p")
 		require.Equal(t, 580, located.Spent)
 		require.Equal(t, 300*time.Millisecond, located.SpentAgo)
+		c.node(2).NoteReturned(t.Context(), "p")
+		require.Zero(t, c.node(1).Locate(t.Context(), "p").Spent)
 	})
 }
 
