--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -136,6 +136,9 @@
 
 func (c *client) Answer(status int, _ http.Header, body []byte) error {
 	c.finals++
+	if c.failNext {
+		return errReset
+	}
 	c.status, c.ended = status, true
 	c.body.Write(body)
 	return nil
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -98,6 +98,17 @@
 	}
 }
 
+// TestAnswerThatCannotBeWrittenIsNotServed: the request's line says that the client left.
+func TestAnswerThatCannotBeWrittenIsNotServed(t *testing.T) {
+	left := &client{failNext: true}
+	x := &exchange{out: left}
+	refusal := x.whole(answer(http.StatusOK, false, nil), []byte("ok"))
+	require.Equal(t, fault.DeadlinePassed, refusal.Code)
+	require.Equal(t, fault.RanYes, refusal.Ran)
+	require.True(t, x.answered, "nothing more is written")
+	require.Equal(t, 1, left.finals)
+}
+
 // resetsOnce breaks the first call and answers the next.
 func resetsOnce() script {
 	calls := 0
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -93,8 +93,17 @@
 	} else {
 		worker.Answered()
 	}
-	_ = x.out.Answer(answer.Status, answer.Header, body)
-	return true, nil
+	return true, x.whole(answer, body)
+}
+
+// whole passes on an answer that was read whole. If it cannot be written, its client
+// is gone: there is nobody else to tell.
+func (x *exchange) whole(answer *Answer, body []byte) *fault.Error {
+	x.answered = true
+	if err := x.out.Answer(answer.Status, answer.Header, body); err != nil {
+		return fault.Newf(fault.DeadlinePassed, "nothing is to be done", "the client left before its answer was written: %v", err).WithRan(fault.RanYes)
+	}
+	return nil
 }
 
 // pass passes on an answer that is too long to be held, after what was read of it.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -106,8 +106,9 @@
 	if x.started {
 		return true, x.exhausted()
 	}
-	_ = x.out.Answer(answer.Status, answer.Header, body)
-	x.answered = true
+	if refusal := x.whole(answer, body); refusal != nil {
+		return true, refusal
+	}
 	return true, fault.New(fault.EngineFailed, "the worker answered without a stream", "see the worker's own answer").WithRan(fault.RanYes)
 }
 
