--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -86,6 +86,7 @@
 	Home    string   // worker of the program's newest turn; empty if unknown
 	Drawn   bool     // more was needed than this node held
 	Handed  bool     // another node handed tokens over
+	Located bool     // the locator named processes to ask
 	Others  []Holder // processes that had turns of the program, the newest first
 	account *account
 	once    sync.Once
@@ -127,7 +128,8 @@
 	defer func() { <-account.turn }()
 	account.learnHolders()
 	reservation.Others = b.others(account)
-	reservation.Home, reservation.Drawn, reservation.Handed = account.homeOf(), true, inquiry.handed
+	reservation.Home, reservation.Drawn = account.homeOf(), true
+	reservation.Handed, reservation.Located = inquiry.handed, inquiry.named
 	return reservation, nil
 }
 
--- a/internal/budget/locate_test.go
+++ b/internal/budget/locate_test.go
@@ -72,6 +72,7 @@
 			cancel()
 			require.NoError(t, err, "no node has met another before")
 			require.True(t, reservation.Handed)
+			require.True(t, reservation.Located)
 			require.Equal(t, "w1", reservation.Home)
 			reservation.Settle(100, "w1")
 		}
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -65,6 +65,7 @@
 	asked   []string // processes
 	handed  bool     // tokens came of it
 	located bool     // the locator was asked
+	named   bool     // and named processes
 	around  bool     // all nodes met lately were asked
 }
 
@@ -100,6 +101,7 @@
 		account.noteHolders(holder)
 	}
 	if len(located.Holders) > 0 {
+		inquiry.named = true
 		b.ask(ctx, account, tokens, inquiry)
 	}
 	return located
--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -86,6 +86,9 @@
 	if x.handed {
 		fields["handed"] = true
 	}
+	if x.located {
+		fields["located"] = true
+	}
 	if x.told {
 		fields["told"] = true
 	}
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -40,7 +40,7 @@
 	perEvent := configuration.Services[x.service].TokensPerEvent
 	refusal = x.stream(ctx, perEvent)
 	if reservation != nil {
-		x.drawn, x.handed = reservation.Drawn, reservation.Handed
+		x.drawn, x.handed, x.located = reservation.Drawn, reservation.Handed, reservation.Located
 		reservation.Settle(x.events*perEvent, x.homeAfter())
 	}
 	if refusal != nil {
