--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -46,6 +46,12 @@
 	return l.Spent > 0 && tokens >= l.Spent && l.SpentAgo < othersSpentFor
 }
 
+// refusal repeats the table's word that the budget is spent.
+func (l Located) refusal(tokens int) error {
+	return fault.Newf(fault.BudgetExhausted, spentRemedy,
+		"the turn may need %d tokens, and the table refused %d to another node %v ago", tokens, l.Spent, l.SpentAgo.Round(time.Millisecond))
+}
+
 // Locator tells what other processes have learnt of a program.
 type Locator interface {
 	// Locate also notes that this process has a turn of the program.
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -82,7 +82,7 @@
 			return true, nil
 		}
 		if located.spent(tokens) && !b.mayComeBack(account) {
-			return false, spentError(0, budget, tokens)
+			return false, located.refusal(tokens)
 		}
 	}
 	for _, index := range drawOrder {
@@ -178,7 +178,10 @@
 	return max(0, min(aheadTurns*tokens, left/aheadShare))
 }
 
+// spentRemedy is what helps a program whose budget is spent.
+const spentRemedy = "raise the program's budget or start a new program"
+
 func spentError(left, budget, tokens int) error {
-	return fault.Newf(fault.BudgetExhausted, "raise the program's budget or start a new program",
+	return fault.Newf(fault.BudgetExhausted, spentRemedy,
 		"%d tokens are left of a budget of %d, and the turn may need %d", left, budget, tokens)
 }
