--- /dev/null
+++ b/internal/server/core.go
@@ -0,0 +1,39 @@
+package server
+
+import (
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/directory"
+	"github.com/cloverwheel/cloverwheel/internal/forward"
+	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/store"
+)
+
+// core is what a node knows of programs.
+type core struct {
+	budgets    *budget.Book
+	history    *history.Keeper
+	programs   *directory.Directory // nil: the node does not talk to others
+	neighbours forward.Neighbours   // nil likewise
+}
+
+// newCore returns the core of a node, and sets what other nodes are answered from it.
+func newCore(options Options, gate *store.Gate, peers *peers) core {
+	self := budget.Holder{Process: options.Process, Address: options.Settings.Peers}
+	cacheBytes := int(options.Settings.MemoryBytes / memoryForHistory)
+	if peers.address == "" {
+		return core{
+			budgets: budget.NewBook(budget.Options{Store: gate, Self: self}),
+			history: history.New(history.Options{Store: gate, CacheBytes: cacheBytes}),
+		}
+	}
+	relays := &relays{transport: peers.transport, patience: gate.Patience, count: options.Metrics.Relayed.Inc}
+	table := store.NewRelayed(gate, relays, options.Logger)
+	others := &asker{peers.transport}
+	programs := directory.New(directory.Options{Store: gate, Self: self, Peers: others, Logger: options.Logger})
+	budgets := budget.NewBook(budget.Options{Store: table, Self: self, Peers: others, Locator: programs})
+	relays.known = budgets.Met
+	keeper := history.New(history.Options{Store: table, CacheBytes: cacheBytes})
+	peers.handle(options.Process, budgets, keeper, programs)
+	handleRelayed(peers.mux, options.Process, gate)
+	return core{budgets: budgets, history: keeper, programs: programs, neighbours: others}
+}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -9,7 +9,6 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/directory"
-	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
 )
@@ -75,30 +74,6 @@
 	return p
 }
 
-// budgets returns how the book asks other nodes; nil if it does not.
-func (p *peers) budgets() budget.Peers {
-	if p.address == "" {
-		return nil
-	}
-	return budgetPeers{p.transport}
-}
-
-// locates returns how keepers of directory slots are asked; nil if they are not.
-func (p *peers) locates() directory.Peers {
-	if p.address == "" {
-		return nil
-	}
-	return directoryPeers{p.transport}
-}
-
-// neighbours returns how chains are asked for; nil if they are not.
-func (p *peers) neighbours() forward.Neighbours {
-	if p.address == "" {
-		return nil
-	}
-	return neighbours{p.transport}
-}
-
 // chainRequest asks for the chain that ends with a turn.
 type chainRequest struct {
 	Process string // that is asked
@@ -148,28 +123,23 @@
 	group.Go(func() error { return server.Serve(listener) })
 }
 
-// budgetPeers implements budget.Peers over messages between nodes.
-type budgetPeers struct{ transport peer.Transport }
+// asker asks other nodes by messages. It implements budget.Peers, directory.Peers and
+// forward.Neighbours.
+type asker struct{ transport peer.Transport }
 
 // HandOver implements budget.Peers.
-func (p budgetPeers) HandOver(ctx context.Context, address string, request budget.HandOverRequest) (budget.HandOverAnswer, error) {
-	return peer.Invoke[budget.HandOverAnswer](ctx, p.transport, peer.Address(address), methodHandOver, request)
+func (a *asker) HandOver(ctx context.Context, address string, request budget.HandOverRequest) (budget.HandOverAnswer, error) {
+	return peer.Invoke[budget.HandOverAnswer](ctx, a.transport, peer.Address(address), methodHandOver, request)
 }
 
-// directoryPeers implements directory.Peers over messages between nodes.
-type directoryPeers struct{ transport peer.Transport }
-
 // Locate implements directory.Peers.
-func (p directoryPeers) Locate(ctx context.Context, address string, request directory.Request) (directory.Answer, error) {
-	return peer.Invoke[directory.Answer](ctx, p.transport, peer.Address(address), methodLocate, request)
+func (a *asker) Locate(ctx context.Context, address string, request directory.Request) (directory.Answer, error) {
+	return peer.Invoke[directory.Answer](ctx, a.transport, peer.Address(address), methodLocate, request)
 }
 
-// neighbours implements forward.Neighbours over messages between nodes.
-type neighbours struct{ transport peer.Transport }
-
 // Chain implements forward.Neighbours.
-func (n neighbours) Chain(ctx context.Context, holder budget.Holder, turn string) ([]*history.Turn, error) {
+func (a *asker) Chain(ctx context.Context, holder budget.Holder, turn string) ([]*history.Turn, error) {
 	request := chainRequest{Process: holder.Process, Turn: turn}
-	answer, err := peer.Invoke[chainAnswer](ctx, n.transport, peer.Address(holder.Address), methodChain, request)
+	answer, err := peer.Invoke[chainAnswer](ctx, a.transport, peer.Address(holder.Address), methodChain, request)
 	return answer.Turns, err
 }
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -133,8 +133,7 @@
 		} else {
 			err = errRelaySilent
 		}
-		var conflict *store.Conflict
-		if err == nil || errors.As(err, &conflict) {
+		if store.Answered(err) {
 			r.note(holder)
 			return answer.Version, err
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -81,7 +81,7 @@
 	listed    atomic.Bool // the list of workers is known
 	sweeper   *sweep.Sweeper
 	budgets   *budget.Book
-	programs  *directory.Directory
+	programs  *directory.Directory // nil: this node does not talk to others
 	peers     *peers
 	drain     chan struct{}
 	inFlight  atomic.Int64 // bytes of bodies
@@ -102,44 +102,16 @@
 
 // New returns a node that is not running yet.
 func New(options Options) *Server {
-	if options.Settings.MemoryBytes == 0 {
-		options.Settings.MemoryBytes = defaultMemory
-	}
-	if options.Listen == nil {
-		options.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
-	}
+	options = options.withDefaults()
 	gate := store.NewGate(options.Store, options.Logger)
-	workers := backend.NewRegistry(backend.Options{
-		Zone:        options.Settings.Zone,
-		Node:        options.Settings.Node,
-		DialTimeout: options.DialTimeout,
-		Dial:        options.Dial,
-		OnDial:      options.Metrics.Dials.Inc,
-		OnLook:      options.Metrics.Looks.Inc,
-	})
+	workers := newWorkers(options)
 	peers := newPeers(options.Settings.Peers, options.PeerNetwork, options.Metrics.Registry)
-	relays := &relays{transport: peers.transport, patience: gate.Patience, count: options.Metrics.Relayed.Inc}
-	table := store.Store(gate)
-	if peers.address != "" {
-		table = store.NewRelayed(gate, relays, options.Logger)
-	}
-	self := budget.Holder{Process: options.Process, Address: options.Settings.Peers}
-	programs := directory.New(directory.Options{Store: gate, Self: self, Peers: peers.locates(), Logger: options.Logger})
-	budgets := budget.NewBook(budget.Options{
-		Store:   table,
-		Self:    self,
-		Peers:   peers.budgets(),
-		Locator: programs,
-	})
-	keeper := history.New(history.Options{Store: table, CacheBytes: int(options.Settings.MemoryBytes / memoryForHistory)})
-	relays.known = budgets.Met
-	peers.handle(options.Process, budgets, keeper, programs)
-	handleRelayed(peers.mux, options.Process, gate)
+	core := newCore(options, gate, peers)
 	return &Server{
 		options:  options,
 		workers:  workers,
-		budgets:  budgets,
-		programs: programs,
+		budgets:  core.budgets,
+		programs: core.programs,
 		peers:    peers,
 		drain:    make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
@@ -150,15 +122,36 @@
 		forwarder: forward.New(forward.Options{
 			Workers:    workers,
 			Transport:  options.Transport,
-			Budgets:    budgets,
-			History:    keeper,
-			Neighbours: peers.neighbours(),
+			Budgets:    core.budgets,
+			History:    core.history,
+			Neighbours: core.neighbours,
 			Metrics:    options.Metrics.Requests,
 			Logger:     options.Logger,
 		}),
 	}
 }
 
+func (o Options) withDefaults() Options {
+	if o.Settings.MemoryBytes == 0 {
+		o.Settings.MemoryBytes = defaultMemory
+	}
+	if o.Listen == nil {
+		o.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	return o
+}
+
+func newWorkers(options Options) *backend.Registry {
+	return backend.NewRegistry(backend.Options{
+		Zone:        options.Settings.Zone,
+		Node:        options.Settings.Node,
+		DialTimeout: options.DialTimeout,
+		Dial:        options.Dial,
+		OnDial:      options.Metrics.Dials.Inc,
+		OnLook:      options.Metrics.Looks.Inc,
+	})
+}
+
 // Forwarder serves requests.
 func (s *Server) Forwarder() *forward.Forwarder { return s.forwarder }
 
@@ -201,7 +194,7 @@
 		})
 	}
 	runs := []func(context.Context){s.sweeper.Run, s.workers.Run, s.notePauses}
-	if s.peers.address != "" {
+	if s.programs != nil {
 		runs = append(runs, s.programs.Run)
 	}
 	for _, run := range runs {
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -47,7 +47,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, giveBackTime)
 	defer cancel()
-	s.programs.Leave(ctx)
+	if s.programs != nil {
+		s.programs.Leave(ctx)
+	}
 	begun := time.Now()
 	returned := s.budgets.GiveBack(ctx)
 	s.options.Logger.WithField("tokens", returned).WithField("ms", time.Since(begun).Milliseconds()).Info("tokens given back")
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -173,8 +173,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.probing = false
-	var conflict *Conflict
-	if err == nil || errors.As(err, &conflict) {
+	if Answered(err) {
 		delete(g.parts, part)
 		g.open()
 		return
--- a/internal/store/hedge.go
+++ b/internal/store/hedge.go
@@ -68,7 +68,7 @@
 		case result := <-results:
 			running--
 			unsure = unsure || result.unsure()
-			if result.settles() {
+			if Answered(result.err) {
 				return result.version, result.err
 			}
 			if result.says() {
@@ -99,14 +99,8 @@
 	err     error
 }
 
-// settles reports whether the table has answered the transaction.
-func (r commitResult) settles() bool {
-	var conflict *Conflict
-	return r.err == nil || errors.As(r.err, &conflict)
-}
-
 // unsure reports whether the try may have had an effect that nobody knows of.
-func (r commitResult) unsure() bool { return !r.settles() && !errors.Is(r.err, ErrNotDone) }
+func (r commitResult) unsure() bool { return !Answered(r.err) && !errors.Is(r.err, ErrNotDone) }
 
 // says reports whether another try at once would be of no use.
 func (r commitResult) says() bool {
--- a/internal/store/relay.go
+++ b/internal/store/relay.go
@@ -115,7 +115,7 @@
 			if result.relayed {
 				r.noteRelay(ctx, result.err)
 			}
-			if tells(result.err) {
+			if Answered(result.err) {
 				return result.value, result.err
 			}
 			failure = moreDoubtful(failure, result.err)
@@ -128,12 +128,6 @@
 	}
 }
 
-// tells reports whether the table has answered the call.
-func tells(err error) bool {
-	var conflict *Conflict
-	return err == nil || errors.As(err, &conflict)
-}
-
 // moreDoubtful is the error of a call that failed both ways: that of the way by
 // which it may have had an effect, if there is one, else the first.
 func moreDoubtful(first, second error) error {
@@ -154,10 +148,10 @@
 func (r *Relayed) noteRelay(ctx context.Context, err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !tells(err) && ctx.Err() != nil {
+	if !Answered(err) && ctx.Err() != nil {
 		return
 	}
-	if was := r.active; was != tells(err) {
+	if was := r.active; was != Answered(err) {
 		r.active = !was
 		r.logger.WithField("relayed", r.active).Info("table is called through other nodes, where the own way fails")
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -79,6 +79,13 @@
 	return fmt.Sprintf("the conditions no longer hold (%d rows returned); decide anew by the rows as they are", len(c.Rows))
 }
 
+// Answered reports whether an error, or none, is the table's answer to a call: it was
+// done, or its conditions do not hold.
+func Answered(err error) bool {
+	var conflict *Conflict
+	return err == nil || errors.As(err, &conflict)
+}
+
 // Find returns the row named key, or a row with version zero if there is none.
 func (c *Conflict) Find(key Key) Row {
 	for _, row := range c.Rows {
