Tenants by their keys, proofs that a configuration is the newest, limits lent by owners of slots

- internal/tenant: tenants, digests of keys, limits; route.Configuration carries them.
- forward: a request's tenant is found before anything is done for it and again before each send; programs and turns are kept under the tenant's name.
- internal/freshness: proofs that the configuration is the newest, which count from when the question was sent and are passed between nodes with their age.
- internal/directory: owners of slots have a lease that the table proves, and rows that say what may have been lent before an owner's time.
- internal/quota: limits in three shares, lent by owners of slots, counted in sliding windows.
- The soak's table faults strike nodes' writes to every part now: the operator and the workers go past them.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -60,10 +60,13 @@
 
 // Options of a Directory.
 type Options struct {
-	Store  store.Store
-	Self   budget.Holder
-	Peers  Peers
-	Logger log.Interface
+	Store store.Store
+	Self  budget.Holder
+	Peers Peers
+	// LentFor is how long what an owner has lent counts; after that, what its
+	// predecessors have lent does not.
+	LentFor time.Duration
+	Logger  log.Interface
 }
 
 // Directory is this process's view of the slots, and the entries of those it owns.
@@ -79,12 +82,18 @@
 	heard      time.Time         // when another owner last answered
 	entries    map[string]*entry // by program
 	swept      time.Time
+	tenures    map[int]*tenure // of the slots that this process owns or has owned
+	claims     uint64          // slots that it has taken in its life
+	leaving    bool            // it takes none any more
+
+	rewriting sync.Mutex // held while this process writes a slot that it owns
 }
 
 // owner is who owns a slot, as the table says. Its zero value is a vacant slot.
 type owner struct {
 	budget.Holder
 	revision store.Version
+	bequest  Bequest
 }
 
 // entry is what is remembered of a program.
@@ -133,6 +142,7 @@
 		wake:       make(chan struct{}, 1),
 		suspicions: map[int]suspicion{},
 		entries:    map[string]*entry{},
+		tenures:    map[int]*tenure{},
 		swept:      time.Now(),
 	}
 }
@@ -238,4 +248,7 @@
 	}
 }
 
-func slotOf(program string) int { return int(xxhash.Sum64String(program) % slots) }
+func slotOf(program string) int { return SlotOf(xxhash.Sum64String(program)) }
+
+// SlotOf is the slot of whatever has the hash given.
+func SlotOf(hash uint64) int { return int(hash % slots) }
--- a/internal/directory/slots.go
+++ b/internal/directory/slots.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/gob"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -18,8 +17,9 @@
 // Table is the table's name for slots.
 const Table = "slots"
 
-// slotsPart is the part of the table in which all slots lie; they are a few KB.
-const slotsPart = "s"
+// slotsPart is the part of the table in which all slots lie; they are a few KB. It is
+// that of the operator's rows, so that one call asks about both.
+const slotsPart = ""
 
 const (
 	// startSpread is over what time nodes that start together begin to claim slots.
@@ -65,6 +65,22 @@
 type row struct {
 	Process string
 	Address string
+	// Unsettled: the owner has not owned the slot for long enough to know what was
+	// lent before its time.
+	Unsettled bool
+	// Raised are the tenants of whom everything may be lent.
+	Raised []string
+}
+
+func rowOf(holder budget.Holder) row { return row{Process: holder.Process, Address: holder.Address} }
+
+// owner is what a row says of a slot, as of a revision.
+func (r row) owner(revision store.Version) owner {
+	return owner{
+		Holder:   budget.Holder{Process: r.Process, Address: r.Address},
+		revision: revision,
+		bequest:  Bequest{All: r.Unsettled, Raised: r.Raised},
+	}
 }
 
 func (d *Directory) suspect(slot int, asked owner) {
@@ -187,7 +203,8 @@
 	if stored.Version < before.revision {
 		return
 	}
-	d.owners[slot] = owner{Holder: budget.Holder(told), revision: stored.Version}
+	d.owners[slot] = told.owner(stored.Version)
+	d.noteTenure(slot, before)
 	if before.Process == d.options.Self.Process && told.Process != before.Process {
 		d.options.Logger.WithField("slot", slot).WithField("owner", told.Process).WithField("revision", uint64(stored.Version)).Info("directory slot lost")
 	}
@@ -200,12 +217,29 @@
 		return false
 	}
 	slot := claimable[rand.IntN(len(claimable))]
-	if err := d.put(ctx, slot, row(d.options.Self), "directory slot taken"); err != nil && ctx.Err() == nil {
+	if err := d.put(ctx, slot, d.successor(slot), "directory slot taken"); err != nil && ctx.Err() == nil {
 		d.options.Logger.WithError(err).WithField("slot", slot).Warn("directory slot not taken, trying again")
 	}
 	return true
 }
 
+// successor is the row of a slot that this process takes over.
+func (d *Directory) successor(slot int) row {
+	next := d.vacancy(slot)
+	next.Process, next.Address = d.options.Self.Process, d.options.Self.Address
+	next.Unsettled = true
+	return next
+}
+
+// vacancy is the row of a slot that nobody owns; it keeps what its last owner says of
+// what was lent.
+func (d *Directory) vacancy(slot int) row {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	before := d.owners[slot].bequest
+	return row{Unsettled: before.All, Raised: before.Raised}
+}
+
 // claimable lists the slots that are vacant, that an earlier process of this node
 // owned, or whose owner has not answered for long enough.
 func (d *Directory) claimable() (claimable []int) {
@@ -236,7 +270,7 @@
 	d.mutex.Lock()
 	before := d.owners[slot]
 	d.mutex.Unlock()
-	key := store.Key{Table: Table, Part: slotsPart, Name: fmt.Sprintf("%02d", slot)}
+	key, sent := keyOf(slot), time.Now()
 	version, err := d.options.Store.Commit(ctx, store.Transaction{
 		Conditions: []store.Condition{{Key: key, Version: before.revision}},
 		Put:        []store.Row{{Key: key, Value: encoded.Bytes()}},
@@ -250,8 +284,12 @@
 		return err
 	}
 	d.mutex.Lock()
-	d.owners[slot] = owner{Holder: budget.Holder(next), revision: version}
+	d.owners[slot] = next.owner(version)
 	delete(d.suspicions, slot)
+	d.noteTenure(slot, before)
+	if held, ok := d.tenures[slot]; ok {
+		held.proven = sent
+	}
 	d.mutex.Unlock()
 	d.options.Logger.WithField("slot", slot).WithField("before", before.Process).WithField("revision", uint64(version)).Info(event)
 	return nil
@@ -259,11 +297,12 @@
 
 // Leave makes the slots that this process owns vacant, as far as ctx allows.
 func (d *Directory) Leave(ctx context.Context) {
+	d.endTenures() // whether or not the table hears of it, nothing is lent any more
 	for slot := range slots {
 		if !d.owns(slot) {
 			continue
 		}
-		if err := d.put(ctx, slot, row{}, "directory slot left"); err != nil {
+		if err := d.put(ctx, slot, d.vacancy(slot), "directory slot left"); err != nil {
 			d.options.Logger.WithError(err).WithField("slot", slot).Warn("directory slot not left; another node takes it over when this one is missed")
 			return
 		}
--- a/internal/forward/chain.go
+++ b/internal/forward/chain.go
@@ -42,11 +42,11 @@
 // chain returns what was said before the turn: from memory, else from a node that
 // ran the program's last turns, else from the table.
 func (x *exchange) chain(ctx context.Context, holders <-chan []budget.Holder) ([]*history.Turn, error) {
-	if known := x.options.History.Known(x.request.Continue); known != nil {
+	if known := x.options.History.Known(x.previous()); known != nil {
 		return known, nil
 	}
 	if x.options.Neighbours == nil {
-		return x.options.History.Chain(ctx, x.request.Continue)
+		return x.options.History.Chain(ctx, x.previous())
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -54,7 +54,7 @@
 	asking := make(chan struct{})
 	go func() { results <- chainResult{turns: x.askChain(ctx, holders, asking), told: true} }()
 	read := func() {
-		turns, err := x.options.History.Chain(ctx, x.request.Continue)
+		turns, err := x.options.History.Chain(ctx, x.previous())
 		results <- chainResult{turns: turns, err: err}
 	}
 	timer := time.NewTimer(holdersPatience)
@@ -120,8 +120,8 @@
 }
 
 func (x *exchange) askOneChain(ctx context.Context, holder budget.Holder) []*history.Turn {
-	chain, err := x.options.Neighbours.Chain(ctx, holder, x.request.Continue)
-	if err != nil || !isChainOf(x.request.Continue, chain) {
+	chain, err := x.options.Neighbours.Chain(ctx, holder, x.previous())
+	if err != nil || !isChainOf(x.previous(), chain) {
 		return nil
 	}
 	return chain
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/tenant"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
@@ -26,8 +27,12 @@
 	History   *history.Keeper
 	// Neighbours asks other nodes for what was said; nil: only the table is asked.
 	Neighbours Neighbours
-	Metrics    *Metrics
-	Logger     log.Interface
+	// Freshness tells whether keys may be believed; nil: always.
+	Freshness Freshness
+	// Limits lends what tenants may ask for; nil: nobody has a limit.
+	Limits  Limits
+	Metrics *Metrics
+	Logger  log.Interface
 }
 
 // Forwarder serves requests by the configuration in force.
@@ -78,6 +83,9 @@
 	*Forwarder
 	request   *Request
 	route     *route.Route
+	tenant    *tenant.Tenant // whose request it is; nil: nobody's
+	proofAge  time.Duration  // of the configuration by which its key was checked last
+	admitted  bool           // it counts against the tenant's limit
 	service   string
 	home      string
 	body      []byte
@@ -106,6 +114,7 @@
 func (f *Forwarder) Serve(ctx context.Context, request *Request, out Responder) {
 	x := &exchange{Forwarder: f, request: request, out: out, begun: time.Now(), client: ctx, lastEvent: request.Resume}
 	refusal := x.serve(ctx)
+	x.releaseUnused()
 	switch {
 	case refusal == nil || x.answered:
 	case x.started:
@@ -131,6 +140,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	if refusal := x.identify(); refusal != nil {
+		return refusal
+	}
 	if x.route.Kind != route.Streaming {
 		return x.plain(ctx)
 	}
@@ -196,7 +208,7 @@
 	case x.request.Object != "":
 		return x.request.Object
 	case x.request.Program != "" && x.route.Kind == route.Streaming:
-		return x.request.Program
+		return x.tenant.Scope(x.request.Program)
 	default:
 		return x.request.ID
 	}
@@ -213,6 +225,9 @@
 		Resume:   x.lastEvent,
 		Priority: x.priority(),
 	}
+	if x.tenant != nil {
+		call.Tenant = x.tenant.Name
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		call.Left = time.Until(deadline)
 	}
--- /dev/null
+++ b/internal/forward/identity.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/route"
+)
+
+// Freshness tells how old this node's knowledge of the configuration may be.
+type Freshness interface {
+	// Age is how long ago the configuration in force was proven to be the newest.
+	// fresh tells whether that is lately enough to let a key in.
+	Age() (age time.Duration, fresh bool)
+}
+
+// staleRetryAfter is when a client should come back to a node that does not know
+// whether its key was taken away: in about that time another node or the table tells.
+const staleRetryAfter = 400 * time.Millisecond
+
+// identify finds whose request it is, and whether its key is valid.
+func (x *exchange) identify() *fault.Error {
+	age, fresh := time.Duration(0), true
+	if x.options.Freshness != nil {
+		age, fresh = x.options.Freshness.Age() // before the configuration, which may only be newer
+	}
+	configuration := x.Configuration()
+	if configuration.Tenants == nil || x.route.Open {
+		return nil
+	}
+	x.proofAge = age
+	if !fresh {
+		return fault.Newf(fault.StaleConfiguration, "come back after the time given",
+			"this node cannot tell whether the key is still valid: version %d was last known to be the newest %d ms ago",
+			configuration.Version, age.Milliseconds()).WithRetryAfter(staleRetryAfter)
+	}
+	holder := configuration.Tenants.ByKey(x.request.Key)
+	if holder == nil {
+		return unknownKey(configuration)
+	}
+	if x.tenant != nil && x.tenant.Name != holder.Name {
+		return unknownKey(configuration) // the key went to another tenant meanwhile
+	}
+	x.tenant = holder
+	return nil
+}
+
+func unknownKey(configuration *route.Configuration) *fault.Error {
+	return fault.Newf(fault.Unauthorized, "send the key of a tenant", "no tenant of version %d holds this key", configuration.Version)
+}
+
+// stillAllowed checks the key again, before the request is sent to a worker: the time
+// since it was checked last is not bounded, nor is what a paused node has missed.
+func (x *exchange) stillAllowed() *fault.Error {
+	if x.tenant == nil {
+		return nil
+	}
+	refusal := x.identify()
+	if refusal != nil && x.touched {
+		return refusal.WithRan(fault.RanUnknown)
+	}
+	return refusal
+}
+
+// previous is the name under which the turn is kept that this one goes on from.
+func (x *exchange) previous() string { return x.tenant.Scope(x.request.Continue) }
+
+// Limits lends what tenants may ask for.
+type Limits interface {
+	// Admit takes one request from what a tenant may still send. Its error is a
+	// *fault.Error: RateLimited when the limit is reached, Unavailable when nobody tells.
+	Admit(ctx context.Context, ask LimitRequest) error
+	// Return gives back what an admitted request did not use.
+	Return(tenant string)
+}
+
+// LimitRequest asks for one request of a tenant.
+type LimitRequest struct {
+	Tenant  string
+	Program string // that the request belongs to; empty: none
+}
+
+// admit counts the request against its tenant's limit.
+func (x *exchange) admit(ctx context.Context) error {
+	if x.options.Limits == nil || x.tenant == nil || x.tenant.Limit.Unlimited() {
+		return nil
+	}
+	if err := x.options.Limits.Admit(ctx, LimitRequest{Tenant: x.tenant.Name, Program: x.request.Program}); err != nil {
+		return err
+	}
+	x.admitted = true
+	return nil
+}
+
+// releaseUnused gives back what the request took of its tenant's limit, if no worker
+// can have run it.
+func (x *exchange) releaseUnused() {
+	if x.admitted && !x.touched {
+		x.options.Limits.Return(x.tenant.Name)
+	}
+}
--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -68,6 +68,10 @@
 	if configuration := x.Configuration(); configuration != nil {
 		fields["config"] = int64(configuration.Version)
 	}
+	if x.tenant != nil {
+		fields["tenant"] = x.tenant.Name
+		fields["proof_ms"] = x.proofAge.Milliseconds()
+	}
 	if x.worker != "" {
 		fields["worker"] = x.worker
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -26,11 +26,17 @@
 func (x *exchange) plain(ctx context.Context) *fault.Error {
 	x.service = x.route.Service(x.route.Draw())
 	x.body = x.request.Body
+	if err := x.admit(ctx); err != nil {
+		return x.notPrepared(ctx, err)
+	}
 	for x.sends < maxSends {
 		worker, refusal := x.choose(ctx)
 		if refusal != nil {
 			return refusal
 		}
+		if refusal := x.stillAllowed(); refusal != nil {
+			return refusal
+		}
 		done, refusal := x.tryPlain(ctx, worker)
 		if done {
 			return refusal
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/tenant"
 )
 
 // Request is a client's request, read whole.
@@ -23,6 +24,7 @@
 	Host     string
 	Path     string
 	Header   http.Header // passed on unchanged
+	Key      tenant.Key  // of the caller; zero: none
 	Body     []byte
 	Deadline time.Duration // how long the client waits; 0: not said
 	Program  string
@@ -41,6 +43,7 @@
 	Body     []byte
 	Resume   string
 	Priority int
+	Tenant   string        // whose request it is; empty: nobody's
 	Left     time.Duration // until the answer is of no use
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -37,6 +37,9 @@
 		if refusal != nil {
 			return refusal
 		}
+		if refusal := x.stillAllowed(); refusal != nil {
+			return refusal
+		}
 		done, refusal := x.tryStream(ctx, worker, perEvent)
 		if done {
 			return refusal
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -69,11 +69,12 @@
 	waiting, cancel := context.WithTimeout(ctx, shareOfLeft(ctx, tableWaitShare, longestTableWait))
 	defer cancel()
 	group, waiting := errgroup.WithContext(waiting)
+	group.Go(func() error { return x.admit(waiting) })
 	holders := make(chan []budget.Holder, 1)
 	if x.request.Budget > 0 && x.request.Program != "" {
 		group.Go(func() (err error) {
 			reservation, err = x.options.Budgets.Reserve(waiting, budget.Claim{
-				Program:   x.request.Program,
+				Program:   x.tenant.Scope(x.request.Program),
 				Budget:    x.request.Budget,
 				Tokens:    x.request.Output,
 				Continues: x.request.Continue != "",
@@ -111,11 +112,14 @@
 	if ctx.Err() != nil {
 		return x.ended(ctx)
 	}
-	if fault.Is(err, fault.BudgetExhausted) {
+	if fault.Is(err, fault.BudgetExhausted) || fault.Is(err, fault.RateLimited) {
 		return fault.From(err)
 	}
 	retry := shareOfLeft(ctx, tableRetryShare, longestTableRetry)
 	if typed := new(fault.Error); errors.As(err, &typed) {
+		if typed.RetryAfter > 0 {
+			return typed
+		}
 		return typed.WithRetryAfter(retry)
 	}
 	return fault.Newf(fault.Unavailable, "come back after the time given",
@@ -150,7 +154,7 @@
 		return nil
 	}
 	turn := &history.Turn{
-		ID:     x.request.ID,
+		ID:     x.tenant.Scope(x.request.ID),
 		Input:  x.request.Body,
 		Output: x.output,
 		Worker: x.worker,
--- /dev/null
+++ b/internal/quota/borrower.go
@@ -0,0 +1,213 @@
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/forward"
+	"github.com/cloverwheel/cloverwheel/internal/freshness"
+)
+
+const (
+	// askWait is how long an owner is waited for; it usually answers in 1 to 5 ms.
+	askWait = 60 * time.Millisecond
+	// askPatience is after how long without an answer the next owner is asked, too.
+	askPatience = 20 * time.Millisecond
+	// spareFor is how long a request that was lent and not used may be used by another of
+	// the same tenant. It is lent for the window in which it was asked for, and counts a
+	// little longer than that.
+	spareFor = 50 * time.Millisecond
+	// silentRetryAfter is when a client should come back if no owner answers: about as long
+	// as an owner takes to come back, or another to take over its slots.
+	silentRetryAfter = 350 * time.Millisecond
+)
+
+// Owners tell which process owns a slot.
+type Owners interface {
+	// Owner is the owner of a slot, unless it is unknown or has just not answered.
+	Owner(slot int) (budget.Holder, bool)
+	// Heard and Missed are told whether an owner answered.
+	Heard(slot int)
+	Missed(slot int, asked budget.Holder)
+}
+
+// Peers asks other nodes.
+type Peers interface {
+	Lend(ctx context.Context, address string, request Request) (Answer, error)
+}
+
+// BorrowerOptions of a Borrower.
+type BorrowerOptions struct {
+	Self   budget.Holder
+	Owners Owners
+	Peers  Peers
+	Lender *Lender // of this process
+	// Learn is told of proofs in answers, and when their question was sent.
+	Learn func(proof freshness.Proof, sent time.Time)
+}
+
+// Borrower gets what requests need of their tenants' limits. It implements forward.Limits.
+type Borrower struct {
+	options BorrowerOptions
+
+	mutex sync.Mutex
+	spare map[string][]time.Time // by tenant: until when a request lent and not used is good
+}
+
+var _ forward.Limits = (*Borrower)(nil)
+
+// NewBorrower returns a borrower that holds nothing.
+func NewBorrower(options BorrowerOptions) *Borrower {
+	return &Borrower{options: options, spare: map[string][]time.Time{}}
+}
+
+// Admit implements forward.Limits. It asks the owner of the share that the program's
+// requests fall to, and others where that one has nothing or does not answer.
+func (b *Borrower) Admit(ctx context.Context, ask forward.LimitRequest) error {
+	if b.takeSpare(ask.Tenant) {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	inquiry := &inquiry{borrower: b, ask: ask, answers: make(chan shareAnswer, shares)}
+	inquiry.first = int(xxhash.Sum64String(ask.Program) % shares)
+	if ask.Program == "" {
+		inquiry.first = rand.IntN(shares)
+	}
+	return inquiry.run(ctx)
+}
+
+// Return implements forward.Limits.
+func (b *Borrower) Return(tenant string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.spare[tenant] = append(b.spare[tenant], time.Now().Add(spareFor))
+}
+
+// takeSpare takes a request that was lent and not used.
+func (b *Borrower) takeSpare(tenant string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	spare := b.spare[tenant]
+	now := time.Now()
+	for len(spare) > 0 && !now.Before(spare[0]) {
+		spare = spare[1:]
+	}
+	if len(spare) == 0 {
+		delete(b.spare, tenant)
+		return false
+	}
+	b.spare[tenant] = spare[1:]
+	return true
+}
+
+// inquiry asks for one request, share after share.
+type inquiry struct {
+	borrower *Borrower
+	ask      forward.LimitRequest
+	first    int // share that is asked first
+	asked    int
+	answers  chan shareAnswer
+	underWay bool
+}
+
+// shareAnswer is what came of asking one share's owner.
+type shareAnswer struct {
+	Answer
+	reached bool
+}
+
+func (i *inquiry) run(ctx context.Context) error {
+	running, silent := 0, 0
+	wait := time.Duration(0)
+	next := func() {
+		if i.asked < shares {
+			share := (i.first + i.asked) % shares
+			i.asked++
+			running++
+			go i.askShare(ctx, share, i.underWay)
+		}
+	}
+	next()
+	patience := time.NewTimer(askPatience)
+	defer patience.Stop()
+	for running > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-patience.C:
+			next()
+			patience.Reset(askPatience)
+		case answer := <-i.answers:
+			running--
+			i.underWay = i.underWay || answer.UnderWay
+			switch {
+			case answer.Lent:
+				return nil
+			case !answer.reached:
+				silent++
+			case wait == 0 || answer.Wait < wait:
+				wait = answer.Wait
+			}
+			next()
+		}
+	}
+	return i.refusal(silent, wait)
+}
+
+// refusal is why nothing was lent.
+func (i *inquiry) refusal(silent int, wait time.Duration) error {
+	if silent == shares {
+		return fault.Newf(fault.Unavailable, "come back after the time given",
+			"no node that lends of tenant %q's limit answers", i.ask.Tenant).WithRetryAfter(silentRetryAfter + rand.N(silentRetryAfter))
+	}
+	return fault.Newf(fault.RateLimited, "come back after the time given, or ask the operator for a higher limit",
+		"tenant %q has sent as much as its limit allows (%d of %d lenders did not answer)", i.ask.Tenant, silent, shares).WithRetryAfter(wait)
+}
+
+// askShare asks the owner of a share.
+func (i *inquiry) askShare(ctx context.Context, share int, underWay bool) {
+	answer, reached := i.borrower.askOwner(ctx, Request{
+		Tenant: i.ask.Tenant, Share: share, Program: i.ask.Program, UnderWay: underWay,
+	})
+	i.answers <- shareAnswer{Answer: answer, reached: reached}
+}
+
+// askOwner asks the owner of the share that a request names. reached is false if nobody
+// answers as such.
+func (b *Borrower) askOwner(ctx context.Context, request Request) (answer Answer, reached bool) {
+	slot := slotOf(request.Tenant, request.Share)
+	owner, ok := b.options.Owners.Owner(slot)
+	if !ok {
+		return Answer{}, false
+	}
+	request.Process = owner.Process
+	if owner.Process == b.options.Self.Process {
+		answer := b.options.Lender.Answer(request)
+		return answer, answer.Able
+	}
+	limited, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
+	sent := time.Now()
+	answer, err := b.options.Peers.Lend(limited, owner.Address, request)
+	if ctx.Err() != nil && err != nil {
+		return Answer{}, false
+	}
+	if err != nil {
+		b.options.Owners.Missed(slot, owner)
+		return Answer{}, false
+	}
+	b.options.Learn(answer.Proof, sent)
+	if !answer.Owner {
+		b.options.Owners.Missed(slot, owner)
+		return Answer{}, false
+	}
+	b.options.Owners.Heard(slot)
+	return answer, answer.Able
+}
--- /dev/null
+++ b/internal/quota/share.go
@@ -0,0 +1,82 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cloverwheel/cloverwheel/internal/directory"
+	"github.com/cloverwheel/cloverwheel/internal/tenant"
+)
+
+const (
+	// shares is into how many parts a limit is divided. With one owner lost, two thirds
+	// remain, which is more than tenants usually send (their limits are well above).
+	shares = 3
+	// shareStride keeps the shares of a tenant in different slots, of different owners.
+	shareStride = 21
+	// ordinaryPart of a share is lent without a word in the table.
+	ordinaryPart = 0.7
+)
+
+// slotOf is the slot to which a share of a tenant's limit belongs.
+func slotOf(tenant string, share int) int {
+	return directory.SlotOf(xxhash.Sum64String(tenant) + uint64(share)*shareStride)
+}
+
+// Tolerance is by how much a limit may be passed in a window before it counts as broken,
+// and the window: the bounds of the deployment.
+type Tolerance struct {
+	Window  time.Duration
+	Overage float64 // share of what the limit allows in a window
+	Slack   float64 // requests
+}
+
+// defaultWindow is the window where the deployment names none.
+const defaultWindow = 5 * time.Second
+
+// withDefaults fills in what is not said.
+func (t Tolerance) withDefaults() Tolerance {
+	if t.Window <= 0 {
+		t.Window = defaultWindow
+	}
+	return t
+}
+
+// allowances are what one share of a limit may lend in any window.
+type allowances struct {
+	whole    float64 // all of it
+	ordinary float64 // without a word in the table
+	reserve  float64 // beyond it, to make up for owners that were lost
+}
+
+// allowancesOf divides a limit.
+func allowancesOf(limit tenant.Limit, tolerance Tolerance) allowances {
+	whole := limit.PerSecond*tolerance.Window.Seconds() + limit.Burst
+	reserve := whole*tolerance.Overage + tolerance.Slack
+	return allowances{
+		whole:    whole / shares,
+		ordinary: whole * ordinaryPart / shares,
+		reserve:  reserve / shares,
+	}
+}
+
+// lendable is how much a share may lend in the window that ends now, by its owner's lease.
+// While what earlier owners lent may still count, that is taken off.
+func (a allowances) lendable(lease directory.Lease, tenant string, now time.Time, window time.Duration) float64 {
+	most := a.ordinary
+	if contains(lease.Raised, tenant) {
+		most = a.whole
+	}
+	if now.Sub(lease.Since) >= window {
+		return most
+	}
+	before := a.ordinary
+	if lease.Before.Lent(tenant) {
+		before = a.whole
+	}
+	if lease.Before.All {
+		return 0
+	}
+	return min(most, a.whole-before+a.reserve)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/tenant"
 )
 
 // Version orders configurations; a higher one is newer.
@@ -43,6 +45,7 @@
 	Resumable   bool          // a stream may go on at another worker
 	Retain      bool          // turns are kept and continued from
 	Retention   time.Duration
+	Open        bool // anybody may send, without a key
 	Targets     []Target
 
 	drawn *atomic.Uint64 // how many draws were made; nil outside a Configuration
@@ -115,8 +118,10 @@
 	Version  Version
 	Services map[string]Service
 	Limits   Limits
-	hosts    map[string][]Route
-	routes   int
+	// Tenants are those who may send requests; nil: nobody needs a key.
+	Tenants *tenant.Registry
+	hosts   map[string][]Route
+	routes  int
 }
 
 // maxFirstDraw bounds where a route's draws begin; far beyond, floating-point
@@ -145,6 +150,12 @@
 	return configuration
 }
 
+// WithTenants sets who may send requests, before the configuration is in force.
+func (c *Configuration) WithTenants(tenants *tenant.Registry) *Configuration {
+	c.Tenants = tenants
+	return c
+}
+
 // Len is the number of routes.
 func (c *Configuration) Len() int { return c.routes }
 
--- /dev/null
+++ b/internal/server/knowledge.go
@@ -0,0 +1,271 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/directory"
+	"github.com/cloverwheel/cloverwheel/internal/freshness"
+	"github.com/cloverwheel/cloverwheel/internal/peer"
+	"github.com/cloverwheel/cloverwheel/internal/quota"
+	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/tenant"
+	"github.com/cloverwheel/cloverwheel/internal/wait"
+)
+
+const (
+	// provePart of the bound on keys is how old a proof gets before a younger one is
+	// sought: two steps of passing it on stay well within the bound.
+	provePart = 0.33
+	// proveTick is how often a node looks whether it needs a proof.
+	proveTick = 100 * time.Millisecond
+	// proveTimeout bounds a question to the table, askProofWait one to another node.
+	proveTimeout = 800 * time.Millisecond
+	askProofWait = 100 * time.Millisecond
+	// urgentPart of the bound is the age at which the table is asked besides other nodes.
+	urgentPart = 0.5
+	// leaseRenewal is how old the proof of a slot's ownership gets before it is renewed.
+	leaseRenewal = 1500 * time.Millisecond
+)
+
+// knowledge keeps the proofs by which this node lets keys in and lends of limits: that
+// its configuration is the newest, and that it owns its directory slots. One call to the
+// table gives both. A node that owns no slot asks one that does. Where the configuration
+// has no tenants, no call is made.
+type knowledge struct {
+	fresh     *freshness.Keeper
+	options   Options
+	server    *Server
+	table     store.Store
+	programs  *directory.Directory
+	transport peer.Transport // nil: no other node is asked
+
+	mutex  sync.Mutex
+	row    store.Row // the configuration in force, as the table has it
+	leases time.Time // when the ownership of all slots was last proven
+}
+
+func newKnowledge(options Options) *knowledge {
+	return &knowledge{fresh: freshness.New(options.Settings.RevokeWithin), options: options}
+}
+
+// attach sets what the proofs are sought with.
+func (k *knowledge) attach(s *Server, core core) {
+	k.server, k.table, k.programs = s, core.table, core.programs
+	if s.peers.address != "" {
+		k.transport = s.peers.transport
+	}
+}
+
+// noteRow notes a configuration that is in force, or older than that.
+func (k *knowledge) noteRow(row store.Row, configuration *route.Configuration) {
+	k.mutex.Lock()
+	if row.Version > k.row.Version {
+		k.row = row
+	}
+	k.mutex.Unlock()
+	if present := k.server.forwarder.Configuration(); present != nil && present.Version >= configuration.Version {
+		k.fresh.InForce(row.Version)
+	}
+}
+
+func (k *knowledge) configurationRow() store.Row {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.row
+}
+
+// limitOf is a tenant's limit by the configuration in force; known is false if that may
+// be too old to lend by.
+func (k *knowledge) limitOf(name string) (limit tenant.Limit, known bool) {
+	if _, fresh := k.fresh.Age(); !fresh {
+		return tenant.Limit{}, false
+	}
+	configuration := k.server.forwarder.Configuration()
+	if configuration == nil {
+		return tenant.Limit{}, false
+	}
+	holder := configuration.Tenants.ByName(name)
+	if holder == nil {
+		return tenant.Limit{}, false
+	}
+	return holder.Limit, true
+}
+
+// needed reports whether the configuration in force has tenants.
+func (k *knowledge) needed() bool {
+	configuration := k.server.forwarder.Configuration()
+	return configuration != nil && configuration.Tenants != nil
+}
+
+// run keeps the proofs young until ctx ends.
+func (k *knowledge) run(ctx context.Context) {
+	for wait.For(ctx, proveTick/2+rand.N(proveTick)) == nil {
+		if !k.needed() {
+			continue
+		}
+		k.renew(ctx)
+	}
+}
+
+// renew seeks younger proofs where they are due.
+func (k *knowledge) renew(ctx context.Context) {
+	age, _ := k.fresh.Age()
+	unproven := k.fresh.Proof().Revision == 0
+	due := k.fresh.Bound() > 0 && (unproven || age > time.Duration(provePart*float64(k.fresh.Bound())))
+	claims := k.claims()
+	if len(claims) > 0 && (due || k.leasesDue()) {
+		k.askTable(ctx, claims)
+		k.programs.Settle(ctx)
+		return
+	}
+	if !due {
+		return
+	}
+	if k.askNode(ctx) {
+		return
+	}
+	if unproven || age > time.Duration(urgentPart*float64(k.fresh.Bound())) {
+		k.askTable(ctx, nil)
+	}
+}
+
+func (k *knowledge) claims() []store.Condition {
+	if k.programs == nil {
+		return nil
+	}
+	return k.programs.Claims()
+}
+
+func (k *knowledge) leasesDue() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return time.Since(k.leases) > leaseRenewal
+}
+
+// askTable asks the table whether the configuration is the newest and this process owns
+// its slots: by a transaction that changes nothing and holds only if all is as believed.
+// (A call that waits for changes proves nothing by its silence.)
+func (k *knowledge) askTable(ctx context.Context, claims []store.Condition) {
+	row := k.configurationRow()
+	conditions := append([]store.Condition{{Key: row.Key, Version: row.Version}}, claims...)
+	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
+	defer cancel()
+	sent := time.Now()
+	_, err := k.table.Commit(ctx, store.Transaction{Conditions: conditions})
+	var conflict *store.Conflict
+	switch {
+	case err == nil:
+		k.fresh.Prove(row.Version, sent)
+		k.proveClaims(claims, sent)
+	case errors.As(err, &conflict):
+		k.takeRow(conflict.Find(row.Key), sent)
+		if k.programs != nil {
+			k.programs.Disproven(claims, conflict, sent)
+		}
+	case ctx.Err() == nil:
+		k.options.Logger.WithError(err).WithField("proof_ms", k.proofAge()).Warn("configuration not proven to be the newest, trying again")
+		_ = wait.For(ctx, proveTick)
+	}
+}
+
+func (k *knowledge) proofAge() int64 {
+	age, _ := k.fresh.Age()
+	return age.Milliseconds()
+}
+
+func (k *knowledge) proveClaims(claims []store.Condition, sent time.Time) {
+	if len(claims) == 0 {
+		return
+	}
+	k.programs.Proven(claims, sent)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.leases = sent
+}
+
+// takeRow takes over the configuration's row as it was when a question was answered that
+// had been sent at a moment.
+func (k *knowledge) takeRow(row store.Row, sent time.Time) {
+	if row.Version == 0 {
+		return // the operator took it away: what is in force stays
+	}
+	if row.Version > k.configurationRow().Version {
+		k.server.takeConfigurations([]store.Row{row})
+	}
+	k.fresh.Prove(row.Version, sent)
+}
+
+// learn takes over another node's proof, which came in the answer to a question sent at a
+// moment: it was as old then as it is said to be, or younger.
+func (k *knowledge) learn(proof freshness.Proof, sent time.Time) {
+	if proof.Revision != 0 {
+		k.fresh.Prove(proof.Revision, sent.Add(-proof.Age))
+	}
+}
+
+// proofRequest asks a node for its proof, and for the configuration if it has a newer one.
+type proofRequest struct{ Revision store.Version }
+
+// proofAnswer is a node's proof.
+type proofAnswer struct {
+	Proof freshness.Proof
+	Row   store.Row // the configuration in force there, if it is newer than the asker's
+}
+
+// prove answers another node.
+func (k *knowledge) prove(request proofRequest) proofAnswer {
+	answer := proofAnswer{Proof: k.fresh.Proof()}
+	if row := k.configurationRow(); row.Version > request.Revision {
+		answer.Row = row
+	}
+	return answer
+}
+
+// askNode asks a node that owns a slot, and so has a young proof. It reports whether that
+// gave a younger one than this node had.
+func (k *knowledge) askNode(ctx context.Context) bool {
+	if k.transport == nil || k.programs == nil {
+		return false
+	}
+	owners := k.programs.Owners()
+	if len(owners) == 0 {
+		return false
+	}
+	before, _ := k.fresh.Age()
+	had := k.fresh.Proof().Revision != 0
+	answer, sent, err := k.askProof(ctx, owners[rand.IntN(len(owners))])
+	if err != nil || answer.Proof.Revision == 0 {
+		return false
+	}
+	if answer.Row.Version > k.configurationRow().Version {
+		k.server.takeConfigurations([]store.Row{answer.Row})
+	}
+	k.learn(answer.Proof, sent)
+	after, fresh := k.fresh.Age()
+	return fresh && (!had || after < before)
+}
+
+func (k *knowledge) askProof(ctx context.Context, owner budget.Holder) (proofAnswer, time.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, askProofWait)
+	defer cancel()
+	sent := time.Now()
+	request := proofRequest{Revision: k.configurationRow().Version}
+	answer, err := peer.Invoke[proofAnswer](ctx, k.transport, peer.Address(owner.Address), methodProof, request)
+	return answer, sent, err
+}
+
+// handleKnowledge sets what other nodes are answered about proofs and limits.
+func (p *peers) handleKnowledge(process string, lender *quota.Lender, knowledge *knowledge) {
+	peer.Handle(p.mux, methodLend, func(_ context.Context, request quota.Request) (quota.Answer, error) {
+		return lender.Answer(request), nil
+	})
+	peer.Handle(p.mux, methodProof, func(_ context.Context, request proofRequest) (proofAnswer, error) {
+		return knowledge.prove(request), nil
+	})
+}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -11,6 +11,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/directory"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
+	"github.com/cloverwheel/cloverwheel/internal/quota"
 )
 
 // Methods of nodes.
@@ -24,6 +25,10 @@
 	methodRange  = "table.range"
 	// methodLocate asks the owner of a directory slot who had turns of a program.
 	methodLocate = "directory.locate"
+	// methodLend asks the owner of a share of a tenant's limit for one request.
+	methodLend = "quota.lend"
+	// methodProof asks a node since when its configuration is known to be the newest.
+	methodProof = "configuration.proof"
 )
 
 // peerKey keeps strangers of other systems out. It is no secret: what a node hands
@@ -123,8 +128,8 @@
 	group.Go(func() error { return server.Serve(listener) })
 }
 
-// asker asks other nodes by messages. It implements budget.Peers, directory.Peers and
-// forward.Neighbours.
+// asker asks other nodes by messages. It implements budget.Peers, directory.Peers,
+// quota.Peers and forward.Neighbours.
 type asker struct{ transport peer.Transport }
 
 // HandOver implements budget.Peers.
@@ -137,6 +142,11 @@
 	return peer.Invoke[directory.Answer](ctx, a.transport, peer.Address(address), methodLocate, request)
 }
 
+// Lend implements quota.Peers.
+func (a *asker) Lend(ctx context.Context, address string, request quota.Request) (quota.Answer, error) {
+	return peer.Invoke[quota.Answer](ctx, a.transport, peer.Address(address), methodLend, request)
+}
+
 // Chain implements forward.Neighbours.
 func (a *asker) Chain(ctx context.Context, holder budget.Holder, turn string) ([]*history.Turn, error) {
 	request := chainRequest{Process: holder.Process, Turn: turn}
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -17,9 +17,11 @@
 			continue
 		}
 		taken := s.forwarder.SetConfiguration(configuration)
+		s.knowledge.noteRow(row, configuration)
 		s.options.Logger.WithFields(log.Fields{
 			"version":  int64(configuration.Version),
 			"routes":   configuration.Len(),
+			"tenants":  configuration.Tenants.Len(),
 			"revision": uint64(row.Version),
 			"taken":    taken,
 		}).Info("configuration")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/follow"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/quota"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 	"github.com/cloverwheel/cloverwheel/internal/sweep"
@@ -40,6 +41,10 @@
 	// Fresh is how soon after trouble with the table the node must know its newest
 	// state again; 0: not said.
 	Fresh time.Duration
+	// RevokeWithin is how long after its removal a key may still let requests in; 0: for ever.
+	RevokeWithin time.Duration
+	// Limits is how tenants' limits are judged.
+	Limits quota.Tolerance
 }
 
 // Records decodes the rows of the tables that are followed.
@@ -81,6 +86,7 @@
 	listed    atomic.Bool // the list of workers is known
 	sweeper   *sweep.Sweeper
 	budgets   *budget.Book
+	knowledge *knowledge
 	programs  *directory.Directory // nil: this node does not talk to others
 	peers     *peers
 	drain     chan struct{}
@@ -106,14 +112,16 @@
 	gate := store.NewGate(options.Store, options.Logger)
 	workers := newWorkers(options)
 	peers := newPeers(options.Settings.Peers, options.PeerNetwork, options.Metrics.Registry)
-	core := newCore(options, gate, peers)
-	return &Server{
-		options:  options,
-		workers:  workers,
-		budgets:  core.budgets,
-		programs: core.programs,
-		peers:    peers,
-		drain:    make(chan struct{}),
+	knowledge := newKnowledge(options)
+	core := newCore(options, gate, peers, knowledge)
+	s := &Server{
+		options:   options,
+		workers:   workers,
+		budgets:   core.budgets,
+		knowledge: knowledge,
+		programs:  core.programs,
+		peers:     peers,
+		drain:     make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
 			Store:  gate,
 			Tables: []sweep.Table{{Name: budget.Table, Parts: budget.Parts()}, {Name: history.Table, Parts: history.Parts()}},
@@ -125,10 +133,14 @@
 			Budgets:    core.budgets,
 			History:    core.history,
 			Neighbours: core.neighbours,
+			Freshness:  knowledge.fresh,
+			Limits:     core.limits,
 			Metrics:    options.Metrics.Requests,
 			Logger:     options.Logger,
 		}),
 	}
+	knowledge.attach(s, core)
+	return s
 }
 
 func (o Options) withDefaults() Options {
@@ -193,7 +205,7 @@
 			return nil
 		})
 	}
-	runs := []func(context.Context){s.sweeper.Run, s.workers.Run, s.notePauses}
+	runs := []func(context.Context){s.sweeper.Run, s.workers.Run, s.notePauses, s.knowledge.run}
 	if s.programs != nil {
 		runs = append(runs, s.programs.Run)
 	}
--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -108,6 +108,12 @@
 	return t.apply(transaction)
 }
 
+// Operate applies a transaction of somebody else, whom no fault strikes.
+func (t *Table) Operate(transaction store.Transaction) error {
+	_, err := t.apply(transaction)
+	return err
+}
+
 func (t *Table) apply(transaction store.Transaction) (store.Version, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- /dev/null
+++ b/internal/tenant/tenant.go
@@ -0,0 +1,129 @@
+// Package tenant says who sends a request: it holds the tenants of a configuration,
+// the digests of their keys, and how much each may ask for. Nothing in it is
+// changed once made.
+package tenant
+
+import "crypto/sha256"
+
+// Key is the digest of a caller's key. Keys themselves are not kept: a digest can be
+// looked up, but opens no door. The zero Key stands for no key.
+type Key [keyBytes]byte
+
+// keyBytes of a SHA-256 tell keys apart: nobody finds two texts of one digest.
+const keyBytes = 16
+
+// KeyOf is the digest of a key as a caller sends it; the zero Key if there is none.
+func KeyOf(secret string) Key {
+	if secret == "" {
+		return Key{}
+	}
+	sum := sha256.Sum256([]byte(secret))
+	return Key(sum[:keyBytes])
+}
+
+// IsZero reports whether there is no key.
+func (k Key) IsZero() bool { return k == Key{} }
+
+// Limit is how much a tenant may ask for, over all nodes together. In any window of
+// time it may send the window times PerSecond, and Burst besides.
+type Limit struct {
+	PerSecond float64 // requests; 0: no limit
+	Burst     float64 // requests
+}
+
+// Unlimited reports whether there is no limit.
+func (l Limit) Unlimited() bool { return l.PerSecond <= 0 }
+
+// Tenant is a customer of the operators.
+type Tenant struct {
+	Name     string
+	Priority int // 0 is the highest; it comes before a route's
+	Limit    Limit
+}
+
+// scopeMark divides a tenant's name from a name of its own. Names that callers send in
+// headers never hold it, so two scoped names are equal only if both parts are.
+const scopeMark = "\x1f"
+
+// Scope is the name under which something that a tenant calls name is kept. A nil
+// tenant keeps the name as it is: without tenants, rows read as they always did.
+func (t *Tenant) Scope(name string) string {
+	if t == nil || name == "" {
+		return name
+	}
+	return t.Name + scopeMark + name
+}
+
+// Registry finds tenants by their keys. A nil Registry stands for a configuration
+// without tenants, where nobody needs a key.
+type Registry struct {
+	tenants []Tenant
+	byKey   map[Key]int32 // index of the tenant
+	byName  map[string]int32
+	doubled int
+}
+
+// Entry is a tenant with its keys.
+type Entry struct {
+	Tenant
+	Keys []Key
+}
+
+// NewRegistry indexes tenants by their keys. A key that several tenants hold is
+// nobody's, so that no request runs for the wrong one; Doubled counts such keys.
+func NewRegistry(entries []Entry) *Registry {
+	registry := &Registry{
+		tenants: make([]Tenant, 0, len(entries)),
+		byKey:   make(map[Key]int32, len(entries)),
+		byName:  make(map[string]int32, len(entries)),
+	}
+	const nobody = -1
+	for index, entry := range entries {
+		registry.tenants = append(registry.tenants, entry.Tenant)
+		registry.byName[entry.Name] = int32(index)
+		for _, key := range entry.Keys {
+			holder, taken := registry.byKey[key]
+			switch {
+			case key.IsZero():
+			case !taken:
+				registry.byKey[key] = int32(index)
+			case holder != nobody && holder != int32(index):
+				registry.byKey[key] = nobody
+				registry.doubled++
+			}
+		}
+	}
+	return registry
+}
+
+// Doubled is the number of keys that several tenants hold.
+func (r *Registry) Doubled() int { return r.doubled }
+
+// ByKey returns the tenant that holds a key; nil if none does.
+func (r *Registry) ByKey(key Key) *Tenant {
+	index, ok := r.byKey[key]
+	if !ok || index < 0 {
+		return nil
+	}
+	return &r.tenants[index]
+}
+
+// ByName returns the tenant of a name; nil if there is none.
+func (r *Registry) ByName(name string) *Tenant {
+	if r == nil {
+		return nil
+	}
+	index, ok := r.byName[name]
+	if !ok {
+		return nil
+	}
+	return &r.tenants[index]
+}
+
+// Len is the number of tenants.
+func (r *Registry) Len() int {
+	if r == nil {
+		return 0
+	}
+	return len(r.tenants)
+}
