Limits: programs begin only where there is room for them, what was raised is lowered again; tests

- A program begins where what its share will have lent a moment ahead stays within the share, by the observed pace of programs; those under way go on up to the whole share.
- An owner that lends more than the ordinary part writes that only when it is needed, and takes it back when it is not: what stands as raised is lost to its successor.
- Rewrites of slots wait under the caller's time limit, not on a mutex.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -86,7 +86,7 @@
 	claims     uint64          // slots that it has taken in its life
 	leaving    bool            // it takes none any more
 
-	rewriting sync.Mutex // held while this process writes a slot that it owns
+	rewriting chan struct{} // holds one entry while this process writes a slot that it owns
 }
 
 // owner is who owns a slot, as the table says. Its zero value is a vacant slot.
@@ -143,6 +143,7 @@
 		suspicions: map[int]suspicion{},
 		entries:    map[string]*entry{},
 		tenures:    map[int]*tenure{},
+		rewriting:  make(chan struct{}, 1),
 		swept:      time.Now(),
 	}
 }
--- a/internal/directory/lease.go
+++ b/internal/directory/lease.go
@@ -171,7 +171,7 @@
 	if !ok {
 		return false
 	}
-	d.rewrite(ctx, slot, "", "directory slot settled")
+	d.rewrite(ctx, slot, func(raised []string) []string { return raised }, "directory slot settled")
 	return true
 }
 
@@ -194,32 +194,48 @@
 }
 
 // Raise writes into the table that everything of a tenant may be lent from now on, so that
-// whoever owns the slot next assumes it. Lease shows it once the table has it.
-func (d *Directory) Raise(ctx context.Context, slot int, tenant string) {
-	d.rewrite(ctx, slot, tenant, "directory slot raised")
+// whoever owns the slot next assumes it. Lease shows it once the table has it. It reports
+// whether the table has just confirmed that: no earlier write can have an effect then.
+func (d *Directory) Raise(ctx context.Context, slot int, tenant string) bool {
+	return d.rewrite(ctx, slot, func(raised []string) []string {
+		if slices.Contains(raised, tenant) {
+			return raised
+		}
+		return append(slices.Clone(raised), tenant)
+	}, "directory slot raised")
+}
+
+// Lower takes that back. Before it is called, no more than the ordinary part may be lent.
+func (d *Directory) Lower(ctx context.Context, slot int, tenant string) {
+	d.rewrite(ctx, slot, func(raised []string) []string {
+		return slices.DeleteFunc(slices.Clone(raised), func(name string) bool { return name == tenant })
+	}, "directory slot lowered")
 }
 
-// rewrite writes a slot's row anew, with a tenant raised unless it is empty. Rewrites of a
-// process follow one another, so that none drops what another has written.
-func (d *Directory) rewrite(ctx context.Context, slot int, tenant, event string) {
-	d.rewriting.Lock()
-	defer d.rewriting.Unlock()
+// rewrite writes a slot's row anew, with the raised tenants changed. Rewrites of a process
+// follow one another, so that none drops what another has written.
+func (d *Directory) rewrite(ctx context.Context, slot int, change func(raised []string) []string, event string) (written bool) {
+	select {
+	case d.rewriting <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-d.rewriting }()
 	d.mutex.Lock()
 	if _, ok := d.tenures[slot]; !ok {
 		d.mutex.Unlock()
-		return
+		return false
 	}
 	known := d.owners[slot].bequest
 	next := rowOf(d.options.Self)
-	next.Raised = known.Raised
-	if tenant != "" && !slices.Contains(known.Raised, tenant) {
-		next.Raised = append(slices.Clone(known.Raised), tenant)
-	}
+	next.Raised = change(known.Raised)
 	next.Unsettled = known.All && !d.settles(slot)
 	d.mutex.Unlock()
-	if err := d.put(ctx, slot, next, event); err != nil && ctx.Err() == nil {
+	written, err := d.put(ctx, slot, next, event)
+	if err != nil && ctx.Err() == nil {
 		d.options.Logger.WithError(err).WithField("slot", slot).Warn("directory slot not written, trying again")
 	}
+	return written
 }
 
 func keyOf(slot int) store.Key {
--- a/internal/directory/slots.go
+++ b/internal/directory/slots.go
@@ -217,7 +217,7 @@
 		return false
 	}
 	slot := claimable[rand.IntN(len(claimable))]
-	if err := d.put(ctx, slot, d.successor(slot), "directory slot taken"); err != nil && ctx.Err() == nil {
+	if _, err := d.put(ctx, slot, d.successor(slot), "directory slot taken"); err != nil && ctx.Err() == nil {
 		d.options.Logger.WithError(err).WithField("slot", slot).Warn("directory slot not taken, trying again")
 	}
 	return true
@@ -259,13 +259,13 @@
 }
 
 // put writes a slot's row over the one that is known. If another node was faster,
-// its row is learnt and nothing happens.
-func (d *Directory) put(ctx context.Context, slot int, next row, event string) error {
+// its row is learnt and nothing happens; written is false then.
+func (d *Directory) put(ctx context.Context, slot int, next row, event string) (written bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var encoded bytes.Buffer
 	if err := gob.NewEncoder(&encoded).Encode(next); err != nil {
-		return err
+		return false, err
 	}
 	d.mutex.Lock()
 	before := d.owners[slot]
@@ -278,10 +278,10 @@
 	var refused *store.Conflict
 	if errors.As(err, &refused) {
 		d.learnRow(refused.Find(key))
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	d.mutex.Lock()
 	d.owners[slot] = next.owner(version)
@@ -292,7 +292,7 @@
 	}
 	d.mutex.Unlock()
 	d.options.Logger.WithField("slot", slot).WithField("before", before.Process).WithField("revision", uint64(version)).Info(event)
-	return nil
+	return true, nil
 }
 
 // Leave makes the slots that this process owns vacant, as far as ctx allows.
@@ -302,7 +302,7 @@
 		if !d.owns(slot) {
 			continue
 		}
-		if err := d.put(ctx, slot, d.vacancy(slot), "directory slot left"); err != nil {
+		if _, err := d.put(ctx, slot, d.vacancy(slot), "directory slot left"); err != nil {
 			d.options.Logger.WithError(err).WithField("slot", slot).Warn("directory slot not left; another node takes it over when this one is missed")
 			return
 		}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -38,6 +38,7 @@
 	worker string
 	resume string
 	body   string
+	tenant string
 	left   time.Duration
 }
 
@@ -96,7 +97,7 @@
 func (f *fixture) Send(ctx context.Context, worker *backend.Worker, call Call) (*Answer, error) {
 	id := worker.Record().ID
 	f.mutex.Lock()
-	f.calls = append(f.calls, sent{worker: id, resume: call.Resume, body: string(call.Body), left: call.Left})
+	f.calls = append(f.calls, sent{worker: id, resume: call.Resume, body: string(call.Body), tenant: call.Tenant, left: call.Left})
 	does := f.scripts[id]
 	f.mutex.Unlock()
 	return does(ctx, call)
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -58,13 +58,21 @@
 
 	mutex sync.Mutex
 	spare map[string][]time.Time // by tenant: until when a request lent and not used is good
+	homes map[string]home        // by tenant and program
+	swept time.Time
+}
+
+// home is the share whose owner let a program begin. It knows the program; others do not.
+type home struct {
+	share int
+	used  time.Time
 }
 
 var _ forward.Limits = (*Borrower)(nil)
 
 // NewBorrower returns a borrower that holds nothing.
 func NewBorrower(options BorrowerOptions) *Borrower {
-	return &Borrower{options: options, spare: map[string][]time.Time{}}
+	return &Borrower{options: options, spare: map[string][]time.Time{}, homes: map[string]home{}, swept: time.Now()}
 }
 
 // Admit implements forward.Limits. It asks the owner of the share that the program's
@@ -76,11 +84,49 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	inquiry := &inquiry{borrower: b, ask: ask, answers: make(chan shareAnswer, shares)}
-	inquiry.first = int(xxhash.Sum64String(ask.Program) % shares)
+	inquiry.first = b.firstShare(ask)
+	return inquiry.run(ctx)
+}
+
+// firstShare is the share to ask first: all nodes ask the same one for a program, unless
+// they know that another one let it begin.
+func (b *Borrower) firstShare(ask forward.LimitRequest) int {
 	if ask.Program == "" {
-		inquiry.first = rand.IntN(shares)
+		return rand.IntN(shares)
 	}
-	return inquiry.run(ctx)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if known, ok := b.homes[homeName(ask)]; ok {
+		return known.share
+	}
+	return usualShare(ask.Program)
+}
+
+func usualShare(program string) int { return int(xxhash.Sum64String(program) % shares) }
+
+func homeName(ask forward.LimitRequest) string { return ask.Tenant + "/" + ask.Program }
+
+// noteHome remembers the share that lent to a program, if it is another than usual.
+func (b *Borrower) noteHome(ask forward.LimitRequest, share int) {
+	if ask.Program == "" {
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := time.Now()
+	if now.Sub(b.swept) > underWayFor {
+		b.swept = now
+		for name, known := range b.homes {
+			if now.Sub(known.used) > underWayFor {
+				delete(b.homes, name)
+			}
+		}
+	}
+	if share == usualShare(ask.Program) {
+		delete(b.homes, homeName(ask))
+		return
+	}
+	b.homes[homeName(ask)] = home{share: share, used: now}
 }
 
 // Return implements forward.Limits.
@@ -120,6 +166,7 @@
 // shareAnswer is what came of asking one share's owner.
 type shareAnswer struct {
 	Answer
+	share   int
 	reached bool
 }
 
@@ -149,6 +196,7 @@
 			i.underWay = i.underWay || answer.UnderWay
 			switch {
 			case answer.Lent:
+				i.borrower.noteHome(i.ask, answer.share)
 				return nil
 			case !answer.reached:
 				silent++
@@ -176,7 +224,7 @@
 	answer, reached := i.borrower.askOwner(ctx, Request{
 		Tenant: i.ask.Tenant, Share: share, Program: i.ask.Program, UnderWay: underWay,
 	})
-	i.answers <- shareAnswer{Answer: answer, reached: reached}
+	i.answers <- shareAnswer{Answer: answer, share: share, reached: reached}
 }
 
 // askOwner asks the owner of the share that a request names. reached is false if nobody
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -14,17 +14,15 @@
 const (
 	// raiseAt is the part of what is ordinarily lent at which an owner writes that it
 	// will lend more, so that the table has it before it is needed.
-	raiseAt = 0.85
-	// raiseTimeout bounds that, and raisePause is the pause before it is tried again.
-	raiseTimeout = time.Second
-	raisePause   = 500 * time.Millisecond
-	// newShare of what may be lent is open to programs that begin. The rest is kept for
-	// those under way: one that is cut off at its last turn has cost all and brought nothing.
-	newShare = 0.75
-	// underWayFor is how long after its last request a program counts as under way.
+	raiseAt = 0.95
+	// lowerAt is the part of it below which an owner writes that it will not any more:
+	// what was raised is lost to the successor of an owner that dies.
+	lowerAt = 0.6
+	// writeTimeout bounds such a write, and writePause is the pause before the next one.
+	writeTimeout = time.Second
+	writePause   = 500 * time.Millisecond
+	// underWayFor is how long after its last request a program may go on as one under way.
 	underWayFor = 4 * time.Second
-	// maxPrograms bounds the programs of a tenant that an owner remembers.
-	maxPrograms = 4096
 )
 
 // Request asks the owner of a share for one request of a tenant.
@@ -49,7 +47,8 @@
 // Leases tell which slots this process owns.
 type Leases interface {
 	Lease(slot int) (directory.Lease, bool)
-	Raise(ctx context.Context, slot int, tenant string)
+	Raise(ctx context.Context, slot int, tenant string) bool
+	Lower(ctx context.Context, slot int, tenant string)
 }
 
 // Lender lends the shares of limits whose slots this process owns.
@@ -65,6 +64,7 @@
 
 	mutex    sync.Mutex
 	accounts map[account]*lent
+	pace     pace
 	swept    time.Time
 }
 
@@ -78,9 +78,10 @@
 type lent struct {
 	lease    uint64 // number of the lease under which it was lent
 	window   window
-	programs map[string]time.Time // when one under way last got a request
-	raising  bool
-	raised   time.Time // when the table was last asked to note that more may be lent
+	programs programs  // those under way
+	writing  bool      // the table is being asked to note whether more may be lent
+	lowered  bool      // no more is lent, whatever the table may have
+	written  time.Time // when the table was last asked
 	used     time.Time
 }
 
@@ -104,6 +105,7 @@
 		proof:     options.Proof,
 		origin:    now,
 		accounts:  map[account]*lent{},
+		pace:      newPace(now),
 		swept:     now,
 	}
 }
@@ -127,23 +129,38 @@
 	}
 	account := l.account(account{request.Tenant, request.Share}, lease, now)
 	account.window.advance(stepOf(l.origin, now, l.tolerance.Window))
+	l.pace.learn(l.accounts, now)
 	allowed := allowancesOf(limit, l.tolerance)
-	answer.UnderWay = request.UnderWay || account.underWay(request.Program, now)
 	most := allowed.lendable(lease, request.Tenant, now, l.tolerance.Window)
-	l.raiseInTime(account, slot, request.Tenant, lease, allowed, now)
-	if request.Program != "" && !answer.UnderWay {
-		most = min(most, newShare*allowed.whole)
+	if account.lowered {
+		most = min(most, allowed.ordinary)
 	}
-	if float64(account.window.total+1) > most {
+	l.adjust(account, slot, request.Tenant, lease, allowed, now)
+	answer.UnderWay = request.UnderWay || account.programs.underWay(request.Program, now)
+	switch begins := request.Program != "" && !answer.UnderWay; {
+	case float64(account.window.total+1) > most:
 		answer.Wait = l.waitFor(account, most)
-		return answer
+	case begins && !l.hasRoom(account, allowed, now):
+		answer.Wait = l.tolerance.Window / time.Duration(account.programs.active(now)+1)
+	default:
+		account.window.add(1)
+		account.programs.note(request.Program, now)
+		l.pace.lent(request.Program)
+		answer.Lent = true
 	}
-	account.window.add(1)
-	account.note(request.Program, now)
-	answer.Lent = true
 	return answer
 }
 
+// hasRoom reports whether one more program can begin without those under way being cut off:
+// whether what a share will have lent in the window that ends after programAhead, if each
+// program goes on at its usual pace, stays within the share.
+func (l *Lender) hasRoom(account *lent, allowed allowances, now time.Time) bool {
+	ahead := time.Duration(programAhead * float64(l.tolerance.Window))
+	kept := account.window.since(l.tolerance.Window-ahead, l.tolerance.Window)
+	coming := float64(account.programs.active(now)+1) * l.pace.perSecond * ahead.Seconds()
+	return float64(kept)+coming <= roomSlack*allowed.whole
+}
+
 // waitFor is how long it takes until one more request may be lent of a share that may lend
 // so many in a window.
 func (l *Lender) waitFor(account *lent, most float64) time.Duration {
@@ -157,7 +174,7 @@
 	l.sweep(now)
 	known, ok := l.accounts[name]
 	if !ok || known.lease != lease.Number {
-		known = &lent{lease: lease.Number, programs: map[string]time.Time{}}
+		known = &lent{lease: lease.Number, programs: programs{}}
 		l.accounts[name] = known
 	}
 	known.used = now
@@ -177,47 +194,37 @@
 	}
 }
 
-// raiseInTime has the table note that more than the ordinary part may be lent, before that
-// is needed. The caller holds the mutex.
-func (l *Lender) raiseInTime(account *lent, slot int, tenant string, lease directory.Lease, allowed allowances, now time.Time) {
-	if contains(lease.Raised, tenant) || account.raising || float64(account.window.total) < raiseAt*allowed.ordinary {
+// adjust has the table note that more than the ordinary part may be lent, before that is
+// needed, or that no more will be. The caller holds the mutex.
+func (l *Lender) adjust(account *lent, slot int, tenant string, lease directory.Lease, allowed allowances, now time.Time) {
+	if account.writing || now.Sub(account.written) < writePause {
 		return
 	}
-	if now.Sub(account.raised) < raisePause {
-		return
+	raised, total := contains(lease.Raised, tenant), float64(account.window.total)
+	switch {
+	case total >= raiseAt*allowed.ordinary && (!raised || account.lowered):
+		l.write(account, now, func(ctx context.Context) (lowered bool) { return !l.leases.Raise(ctx, slot, tenant) })
+	case total < lowerAt*allowed.ordinary && raised:
+		account.lowered = true // before the table may say so
+		l.write(account, now, func(ctx context.Context) (lowered bool) {
+			l.leases.Lower(ctx, slot, tenant)
+			return true
+		})
 	}
-	account.raising, account.raised = true, now
+}
+
+// write lets a write to the table run on its own, one at a time. do reports whether no more
+// than the ordinary part may be lent after it.
+func (l *Lender) write(account *lent, now time.Time, do func(context.Context) (lowered bool)) {
+	account.writing, account.written = true, now
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), raiseTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 		defer cancel()
-		l.leases.Raise(ctx, slot, tenant)
+		lowered := do(ctx)
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
-		account.raising = false
+		account.writing, account.lowered = false, lowered
 	}()
 }
 
-// underWay reports whether a program has had a request lately.
-func (a *lent) underWay(program string, now time.Time) bool {
-	last, ok := a.programs[program]
-	return ok && now.Sub(last) < underWayFor
-}
-
-// note remembers a program's request, and forgets programs that have ended.
-func (a *lent) note(program string, now time.Time) {
-	if program == "" {
-		return
-	}
-	if len(a.programs) >= maxPrograms {
-		for name, last := range a.programs {
-			if now.Sub(last) >= underWayFor {
-				delete(a.programs, name)
-			}
-		}
-	}
-	if len(a.programs) < maxPrograms {
-		a.programs[program] = now
-	}
-}
-
 func contains(names []string, name string) bool { return slices.Contains(names, name) }
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -34,6 +34,18 @@
 	w.total += count
 }
 
+// since counts what was lent in the newest part of the window, which is whole long.
+func (w *window) since(part, whole time.Duration) (count int) {
+	newest := int64(part * steps / whole)
+	for back := range newest {
+		if w.step < back {
+			break
+		}
+		count += int(w.counts[(w.step-back)%(steps+1)])
+	}
+	return count
+}
+
 // untilFree is in how many steps so many requests will have left the window.
 func (w *window) untilFree(count int) int64 {
 	freed := 0
--- /dev/null
+++ b/internal/tenant/tenant_test.go
@@ -0,0 +1,91 @@
+package tenant
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestKeysFindTheirTenant(t *testing.T) {
+	registry := NewRegistry([]Entry{
+		{Tenant: Tenant{Name: "stalls"}, Keys: []Key{KeyOf("a"), KeyOf("b")}},
+		{Tenant: Tenant{Name: "cellars"}, Keys: []Key{KeyOf("c")}},
+		{Tenant: Tenant{Name: "keyless"}},
+	})
+	require.Equal(t, "stalls", registry.ByKey(KeyOf("a")).Name)
+	require.Equal(t, "stalls", registry.ByKey(KeyOf("b")).Name)
+	require.Equal(t, "cellars", registry.ByKey(KeyOf("c")).Name)
+	require.Equal(t, "keyless", registry.ByName("keyless").Name)
+	require.Nil(t, registry.ByKey(KeyOf("d")))
+	require.Nil(t, registry.ByKey(KeyOf("")), "no key is nobody's")
+	require.Nil(t, registry.ByName("none"))
+	require.Equal(t, 3, registry.Len())
+}
+
+func TestKeyOfTwoTenantsIsNobodys(t *testing.T) {
+	registry := NewRegistry([]Entry{
+		{Tenant: Tenant{Name: "one"}, Keys: []Key{KeyOf("shared"), KeyOf("own"), KeyOf("own")}},
+		{Tenant: Tenant{Name: "two"}, Keys: []Key{KeyOf("shared")}},
+		{Tenant: Tenant{Name: "three"}, Keys: []Key{KeyOf("shared")}},
+	})
+	require.Nil(t, registry.ByKey(KeyOf("shared")))
+	require.Equal(t, "one", registry.ByKey(KeyOf("own")).Name, "a key listed twice by its tenant stays valid")
+	require.Equal(t, 1, registry.Doubled())
+}
+
+func TestEmptyKeyInAListOpensNothing(t *testing.T) {
+	registry := NewRegistry([]Entry{{Tenant: Tenant{Name: "one"}, Keys: []Key{KeyOf("")}}})
+	require.Nil(t, registry.ByKey(Key{}))
+}
+
+// TestScopedNamesNeverMeet: two tenants' names for things are equal only if tenant and
+// name are, whatever headers may hold.
+func TestScopedNamesNeverMeet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		inHeader := rapid.StringMatching(`[ -~]{1,6}`)
+		tenants := rapid.SampledFrom([]*Tenant{nil, {Name: "a"}, {Name: "a/b"}, {Name: "b"}, {Name: "a\x1fb"}})
+		first, second := tenants.Draw(t, "first"), tenants.Draw(t, "second")
+		one, other := inHeader.Draw(t, "one"), inHeader.Draw(t, "other")
+		same := first == second && one == other
+		require.Equal(t, same, first.Scope(one) == second.Scope(other))
+	})
+	require.Empty(t, (&Tenant{Name: "a"}).Scope(""), "nothing stays nothing")
+}
+
+// manyEntries are 10,000 tenants of 3 keys each.
+func manyEntries() []Entry {
+	const tenants, keys = 10_000, 3
+	entries := make([]Entry, tenants)
+	for index := range entries {
+		entries[index].Name = fmt.Sprintf("tenant-%d", index)
+		for key := range keys {
+			entries[index].Keys = append(entries[index].Keys, KeyOf(fmt.Sprintf("%d-%d", index, key)))
+		}
+	}
+	return entries
+}
+
+func TestManyTenantsTakeAFewMegabytes(t *testing.T) {
+	const most = 6 << 20
+	entries := manyEntries()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	registry := NewRegistry(entries)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(most))
+	require.Equal(t, "tenant-9999", registry.ByKey(KeyOf("9999-2")).Name)
+	runtime.KeepAlive(entries)
+}
+
+// BenchmarkManyTenants is the time to index a configuration of 10,000 tenants.
+func BenchmarkManyTenants(b *testing.B) {
+	entries := manyEntries()
+	for b.Loop() {
+		NewRegistry(entries)
+	}
+}
