--- a/internal/directory/slots.go
+++ b/internal/directory/slots.go
@@ -110,6 +110,9 @@
 // Run keeps the view of the slots up to date and claims those that nobody owns,
 // until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
+	if d.refresh(ctx) == nil {
+		d.reclaim(ctx)
+	}
 	if wait.For(ctx, rand.N(startSpread)) != nil {
 		return
 	}
@@ -258,53 +261,120 @@
 	return claimable
 }
 
+// change is a row that a slot is to get.
+type change struct {
+	slot   int
+	next   row
+	before owner // the row that it replaces
+}
+
 // put writes a slot's row over the one that is known. If another node was faster,
 // its row is learnt and nothing happens; written is false then.
 func (d *Directory) put(ctx context.Context, slot int, next row, event string) (written bool, err error) {
+	return d.putAll(ctx, []change{{slot: slot, next: next}}, event)
+}
+
+// putAll writes the rows of slots as put does, all or none.
+func (d *Directory) putAll(ctx context.Context, changes []change, event string) (written bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var encoded bytes.Buffer
-	if err := gob.NewEncoder(&encoded).Encode(next); err != nil {
+	transaction, err := d.transaction(changes)
+	if err != nil {
 		return false, err
 	}
-	d.mutex.Lock()
-	before := d.owners[slot]
-	d.mutex.Unlock()
-	key, sent := keyOf(slot), time.Now()
-	version, err := d.options.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Key: key, Version: before.revision}},
-		Put:        []store.Row{{Key: key, Value: encoded.Bytes()}},
-	})
+	sent := time.Now()
+	version, err := d.options.Store.Commit(ctx, transaction)
 	var refused *store.Conflict
 	if errors.As(err, &refused) {
-		d.learnRow(refused.Find(key))
+		for _, planned := range changes {
+			d.learnRow(refused.Find(keyOf(planned.slot)))
+		}
 		return false, nil
 	}
 	if err != nil {
 		return false, err
 	}
+	for _, done := range changes {
+		d.noteWritten(done, version, sent)
+		d.options.Logger.WithField("slot", done.slot).WithField("before", done.before.Process).WithField("revision", uint64(version)).Info(event)
+	}
+	return true, nil
+}
+
+// transaction writes rows over those that are known, which it notes in changes.
+func (d *Directory) transaction(changes []change) (transaction store.Transaction, err error) {
 	d.mutex.Lock()
-	d.owners[slot] = next.owner(version)
-	delete(d.suspicions, slot)
-	d.noteTenure(slot, before)
-	if held, ok := d.tenures[slot]; ok {
+	defer d.mutex.Unlock()
+	for index := range changes {
+		planned := &changes[index]
+		planned.before = d.owners[planned.slot]
+		var encoded bytes.Buffer
+		if err := gob.NewEncoder(&encoded).Encode(planned.next); err != nil {
+			return store.Transaction{}, err
+		}
+		key := keyOf(planned.slot)
+		transaction.Conditions = append(transaction.Conditions, store.Condition{Key: key, Version: planned.before.revision})
+		transaction.Put = append(transaction.Put, store.Row{Key: key, Value: encoded.Bytes()})
+	}
+	return transaction, nil
+}
+
+// noteWritten takes over a row that this process has written by a call sent at a moment,
+// unless a newer one was learnt meanwhile.
+func (d *Directory) noteWritten(done change, version store.Version, sent time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.owners[done.slot].revision <= version {
+		d.owners[done.slot] = done.next.owner(version)
+		delete(d.suspicions, done.slot)
+		d.noteTenure(done.slot, done.before)
+	}
+	if held, ok := d.tenures[done.slot]; ok && d.owners[done.slot].revision == version {
 		held.proven = sent
 	}
-	d.mutex.Unlock()
-	d.options.Logger.WithField("slot", slot).WithField("before", before.Process).WithField("revision", uint64(version)).Info(event)
-	return true, nil
+}
+
+// reclaim takes the slots that an earlier process at this address owned, all at once: it is
+// gone, and nobody else serves them.
+func (d *Directory) reclaim(ctx context.Context) {
+	var changes []change
+	for _, slot := range d.orphaned() {
+		changes = append(changes, change{slot: slot, next: d.successor(slot)})
+	}
+	if len(changes) == 0 {
+		return
+	}
+	if _, err := d.putAll(ctx, changes, "directory slot taken again"); err != nil && ctx.Err() == nil {
+		d.options.Logger.WithError(err).WithField("slots", len(changes)).Warn("directory slots not taken again, trying one after the other")
+	}
+}
+
+// orphaned lists the slots that an earlier process at this address owned.
+func (d *Directory) orphaned() (orphaned []int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for slot, known := range d.owners {
+		if known.Address == d.options.Self.Address && known.Process != d.options.Self.Process {
+			orphaned = append(orphaned, slot)
+		}
+	}
+	return orphaned
 }
 
 // Leave makes the slots that this process owns vacant, as far as ctx allows.
 func (d *Directory) Leave(ctx context.Context) {
 	d.endTenures() // whether or not the table hears of it, nothing is lent any more
+	var changes []change
 	for slot := range slots {
-		if !d.owns(slot) {
-			continue
-		}
-		if _, err := d.put(ctx, slot, d.vacancy(slot), "directory slot left"); err != nil {
-			d.options.Logger.WithError(err).WithField("slot", slot).Warn("directory slot not left; another node takes it over when this one is missed")
-			return
+		if d.owns(slot) {
+			changes = append(changes, change{slot: slot, next: d.vacancy(slot)})
 		}
 	}
+	if len(changes) == 0 {
+		return
+	}
+	written, err := d.putAll(ctx, changes, "directory slot left")
+	if err != nil || !written {
+		d.options.Logger.WithField("error", err).WithField("slots", len(changes)).Warn("directory slots not left; other nodes take them over when this one is missed")
+	}
 }
