--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -38,7 +38,10 @@
 	}
 	x.service = x.serviceOfTurn()
 	perEvent := configuration.Services[x.service].TokensPerEvent
-	refusal = x.stream(ctx, perEvent)
+	refusal = x.admitTurn(ctx)
+	if refusal == nil {
+		refusal = x.stream(ctx, perEvent)
+	}
 	if reservation != nil {
 		x.drawn, x.handed, x.located = reservation.Drawn, reservation.Handed, reservation.Located
 		reservation.Settle(x.events*perEvent, x.homeAfter())
@@ -53,6 +56,17 @@
 	return nil
 }
 
+// admitTurn counts the turn against its tenant's limit, once nothing else stands in the way
+// of its being sent: what is taken and not used is lost to the tenant's other requests.
+func (x *exchange) admitTurn(ctx context.Context) *fault.Error {
+	waiting, cancel := context.WithTimeout(ctx, shareOfLeft(ctx, tableWaitShare, longestTableWait))
+	defer cancel()
+	if err := x.admit(waiting); err != nil {
+		return x.notPrepared(ctx, err)
+	}
+	return nil
+}
+
 // homeAfter is where the program's context lies after the turn.
 func (x *exchange) homeAfter() string {
 	if x.events == 0 {
@@ -69,7 +83,6 @@
 	waiting, cancel := context.WithTimeout(ctx, shareOfLeft(ctx, tableWaitShare, longestTableWait))
 	defer cancel()
 	group, waiting := errgroup.WithContext(waiting)
-	group.Go(func() error { return x.admit(waiting) })
 	holders := make(chan []budget.Holder, 1)
 	if x.request.Budget > 0 && x.request.Program != "" {
 		group.Go(func() (err error) {
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -235,7 +235,6 @@
 	if !ok {
 		return Answer{}, false
 	}
-	request.Process = owner.Process
 	if owner.Process == b.options.Self.Process {
 		answer := b.options.Lender.Answer(request)
 		return answer, answer.Able
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -27,7 +27,6 @@
 
 // Request asks the owner of a share for one request of a tenant.
 type Request struct {
-	Process  string // that is asked; another one at its address is not the owner
 	Tenant   string
 	Share    int
 	Program  string // that the request belongs to; empty: none
@@ -36,7 +35,7 @@
 
 // Answer is the owner's word.
 type Answer struct {
-	Owner    bool // the process asked owns the share's slot
+	Owner    bool // the process asked owns the share's slot, whoever owned it when it was named
 	Able     bool // and may lend now
 	Lent     bool
 	UnderWay bool          // the program was known to the owner
@@ -53,7 +52,6 @@
 
 // Lender lends the shares of limits whose slots this process owns.
 type Lender struct {
-	process   string
 	leases    Leases
 	tolerance Tolerance
 	origin    time.Time
@@ -87,7 +85,6 @@
 
 // LenderOptions of a Lender.
 type LenderOptions struct {
-	Process   string
 	Leases    Leases
 	Tolerance Tolerance
 	LimitOf   func(tenant string) (tenant.Limit, bool)
@@ -98,7 +95,6 @@
 func NewLender(options LenderOptions) *Lender {
 	now := time.Now()
 	return &Lender{
-		process:   options.Process,
 		leases:    options.Leases,
 		tolerance: options.Tolerance.withDefaults(),
 		limitOf:   options.LimitOf,
@@ -113,7 +109,7 @@
 // Answer lends a request, or says when it may.
 func (l *Lender) Answer(request Request) Answer {
 	answer := Answer{Proof: l.proof()}
-	if request.Process != l.process || request.Share < 0 || request.Share >= shares {
+	if request.Share < 0 || request.Share >= shares {
 		return answer
 	}
 	slot := slotOf(request.Tenant, request.Share)
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -15,8 +15,10 @@
 	shares = 3
 	// shareStride keeps the shares of a tenant in different slots, of different owners.
 	shareStride = 21
-	// ordinaryPart of a share is lent without a word in the table.
-	ordinaryPart = 0.7
+	// ordinaryPart of a share is lent without a word in the table. Tenants usually send
+	// about half of what their limits allow in a window; what is left, and the tolerance,
+	// is about as much again for the successor of an owner that is lost.
+	ordinaryPart = 0.6
 )
 
 // slotOf is the slot to which a share of a tenant's limit belongs.
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -119,7 +119,7 @@
 		Store: turnedAway{w.table, n}, Self: n.self, Peers: peers, LentFor: testTolerance.Window, Logger: &log.Logger{Handler: discard.New()},
 	})
 	n.lender = NewLender(LenderOptions{
-		Process: n.self.Process, Leases: n.programs, Tolerance: testTolerance,
+		Leases: n.programs, Tolerance: testTolerance,
 		LimitOf: func(string) (tenant.Limit, bool) {
 			w.mutex.Lock()
 			defer w.mutex.Unlock()
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -44,7 +44,7 @@
 	peers.handle(options.Process, budgets, keeper, programs)
 	handleRelayed(peers.mux, options.Process, gate)
 	lender := quota.NewLender(quota.LenderOptions{
-		Process: options.Process, Leases: programs, Tolerance: options.Settings.Limits,
+		Leases: programs, Tolerance: options.Settings.Limits,
 		LimitOf: knowledge.limitOf, Proof: knowledge.fresh.Proof,
 	})
 	limits := quota.NewBorrower(quota.BorrowerOptions{
--- a/internal/server/knowledge.go
+++ b/internal/server/knowledge.go
@@ -25,7 +25,7 @@
 	// proveTick is how often a node looks whether it needs a proof.
 	proveTick = 100 * time.Millisecond
 	// proveTimeout bounds a question to the table, askProofWait one to another node.
-	proveTimeout = 800 * time.Millisecond
+	proveTimeout = 400 * time.Millisecond
 	askProofWait = 100 * time.Millisecond
 	// urgentPart of the bound is the age at which the table is asked besides other nodes.
 	urgentPart = 0.5
