--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -85,6 +85,7 @@
 	tenures    map[int]*tenure // of the slots that this process owns or has owned
 	claims     uint64          // slots that it has taken in its life
 	leaving    bool            // it takes none any more
+	started    time.Time
 
 	rewriting chan struct{} // holds one entry while this process writes a slot that it owns
 }
@@ -145,6 +146,7 @@
 		tenures:    map[int]*tenure{},
 		rewriting:  make(chan struct{}, 1),
 		swept:      time.Now(),
+		started:    time.Now(),
 	}
 }
 
--- a/internal/directory/lease.go
+++ b/internal/directory/lease.go
@@ -150,8 +150,11 @@
 		held.before = Bequest{All: true} // the claim's own answer was lost, and with it the row before
 	}
 	mayLive := before.Process != "" && before.Address != d.options.Self.Address
-	if mayLive || before.Process == d.options.Self.Process {
+	switch {
+	case mayLive || before.Process == d.options.Self.Process:
 		held.since = held.since.Add(leaseTime)
+	case before.Process != "":
+		held.since = d.started // an earlier process at this address ended before this one began
 	}
 	d.tenures[slot] = held
 }
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
@@ -15,9 +16,11 @@
 	Age() (age time.Duration, fresh bool)
 }
 
-// staleRetryAfter is when a client should come back to a node that does not know
-// whether its key was taken away: in about that time another node or the table tells.
-const staleRetryAfter = 400 * time.Millisecond
+// staleRetryAfter is when a client should come back to a node that does not know whether
+// its key was taken away, spread by half as much. No other node knows either, then, and the
+// table has been out of reach for seconds: who comes back soon has used up its tries
+// before the table answers.
+const staleRetryAfter = 900 * time.Millisecond
 
 // identify finds whose request it is, and whether its key is valid.
 func (x *exchange) identify() *fault.Error {
@@ -33,7 +36,7 @@
 	if !fresh {
 		return fault.Newf(fault.StaleConfiguration, "come back after the time given",
 			"this node cannot tell whether the key is still valid: version %d was last known to be the newest %d ms ago",
-			configuration.Version, age.Milliseconds()).WithRetryAfter(staleRetryAfter)
+			configuration.Version, age.Milliseconds()).WithRetryAfter(staleRetryAfter + rand.N(staleRetryAfter/2))
 	}
 	holder := configuration.Tenants.ByKey(x.request.Key)
 	if holder == nil {
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -23,9 +23,9 @@
 	// the same tenant. It is lent for the window in which it was asked for, and counts a
 	// little longer than that.
 	spareFor = 50 * time.Millisecond
-	// silentRetryAfter is when a client should come back if no owner answers: about as long
-	// as an owner takes to come back, or another to take over its slots.
-	silentRetryAfter = 350 * time.Millisecond
+	// silentRetryAfter is when a client should come back if no owner answers, spread by half
+	// as much: owners come back in 1 or 2 s, or others take over their slots in 5.
+	silentRetryAfter = 700 * time.Millisecond
 )
 
 // Owners tell which process owns a slot.
@@ -213,7 +213,7 @@
 func (i *inquiry) refusal(silent int, wait time.Duration) error {
 	if silent == shares {
 		return fault.Newf(fault.Unavailable, "come back after the time given",
-			"no node that lends of tenant %q's limit answers", i.ask.Tenant).WithRetryAfter(silentRetryAfter + rand.N(silentRetryAfter))
+			"no node that lends of tenant %q's limit answers", i.ask.Tenant).WithRetryAfter(silentRetryAfter + rand.N(silentRetryAfter/2))
 	}
 	return fault.Newf(fault.RateLimited, "come back after the time given, or ask the operator for a higher limit",
 		"tenant %q has sent as much as its limit allows (%d of %d lenders did not answer)", i.ask.Tenant, silent, shares).WithRetryAfter(wait)
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -76,11 +76,15 @@
 type lent struct {
 	lease    uint64 // number of the lease under which it was lent
 	window   window
-	programs programs  // those under way
-	writing  bool      // the table is being asked to note whether more may be lent
-	lowered  bool      // no more is lent, whatever the table may have
-	written  time.Time // when the table was last asked
-	used     time.Time
+	programs programs // those under way
+	// promises are the times at which refused requests were told to come back, and
+	// beginnings those of refused programs.
+	promises   promises
+	beginnings promises
+	writing    bool      // the table is being asked to note whether more may be lent
+	lowered    bool      // no more is lent, whatever the table may have
+	written    time.Time // when the table was last asked
+	used       time.Time
 }
 
 // LenderOptions of a Lender.
@@ -135,9 +139,11 @@
 	answer.UnderWay = request.UnderWay || account.programs.underWay(request.Program, now)
 	switch begins := request.Program != "" && !answer.UnderWay; {
 	case float64(account.window.total+1) > most:
-		answer.Wait = l.waitFor(account, most)
+		answer.Wait = account.promises.add(now, func(queue int) time.Duration { return l.waitFor(account, most, queue) })
 	case begins && !l.hasRoom(account, allowed, now):
-		answer.Wait = l.tolerance.Window / time.Duration(account.programs.active(now)+1)
+		answer.Wait = account.beginnings.add(now, func(queue int) time.Duration {
+			return time.Duration(queue+1) * l.tolerance.Window / time.Duration(account.programs.active(now)+1)
+		})
 	default:
 		account.window.add(1)
 		account.programs.note(request.Program, now)
@@ -158,9 +164,9 @@
 }
 
 // waitFor is how long it takes until one more request may be lent of a share that may lend
-// so many in a window.
-func (l *Lender) waitFor(account *lent, most float64) time.Duration {
-	surplus := account.window.total + 1 - int(most)
+// so many in a window, after those that were told before to come back.
+func (l *Lender) waitFor(account *lent, most float64, queue int) time.Duration {
+	surplus := account.window.total + 1 - int(most) + queue
 	return time.Duration(account.window.untilFree(surplus)) * l.tolerance.Window / steps
 }
 
