--- a/cmd/cloverwheel/main.go
+++ b/cmd/cloverwheel/main.go
@@ -37,7 +37,6 @@
 			checkCommand(),
 			loadCommand(),
 			experimentCommand(),
-			hollowCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/cmd/cloverwheel/node.go
+++ b/cmd/cloverwheel/node.go
@@ -13,7 +13,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/engine"
 	"github.com/cloverwheel/cloverwheel/internal/node"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/settings"
 	"github.com/cloverwheel/cloverwheel/internal/template"
 	"github.com/cloverwheel/cloverwheel/internal/worker"
@@ -129,11 +129,11 @@
 // platformOf returns HTTP clients of the platform's services.
 func platformOf(urls settings.Platform) node.Platform {
 	return node.Platform{
-		Table:    platform.NewHTTPTable(platform.Options{Address: urls.Table, Timeout: platformTimeout}),
-		Objects:  platform.NewHTTPObjects(platform.Options{Address: urls.Objects, Timeout: platformTimeout}),
-		Machines: platform.NewHTTPMachines(platform.Options{Address: urls.Machines, Timeout: platformTimeout}),
-		Tools:    platform.NewHTTPTools(platform.Options{}),
-		Dial: func(machine platform.Machine) engine.Client {
+		Table:    outside.NewHTTPTable(outside.Options{Address: urls.Table, Timeout: platformTimeout}),
+		Objects:  outside.NewHTTPObjects(outside.Options{Address: urls.Objects, Timeout: platformTimeout}),
+		Machines: outside.NewHTTPMachines(outside.Options{Address: urls.Machines, Timeout: platformTimeout}),
+		Tools:    outside.NewHTTPTools(outside.Options{}),
+		Dial: func(machine outside.Machine) engine.Client {
 			return engine.NewHTTP(engine.HTTPOptions{Address: machine.Address})
 		},
 	}
--- a/internal/config/cluster_test.go
+++ b/internal/config/cluster_test.go
@@ -15,8 +15,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/shard"
 	"github.com/cloverwheel/cloverwheel/internal/template"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
@@ -25,7 +25,7 @@
 // fakeTable is the platform's table in memory, with faults.
 type fakeTable struct {
 	mutex    sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]outside.Row
 	down     bool
 	latency  time.Duration
 	loseSets int           // answers of the next writes that are lost after the effect
@@ -44,9 +44,9 @@
 	return nil
 }
 
-func (t *fakeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *fakeTable) Get(ctx context.Context, key string) (outside.Row, error) {
 	if err := t.fail(ctx); err != nil {
-		return platform.Row{}, err
+		return outside.Row{}, err
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -54,9 +54,9 @@
 	return t.rows[key], nil
 }
 
-func (t *fakeTable) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, change string) (platform.Row, error) {
+func (t *fakeTable) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, change string) (outside.Row, error) {
 	if err := t.fail(ctx); err != nil {
-		return platform.Row{}, err
+		return outside.Row{}, err
 	}
 	t.mutex.Lock()
 	hold := t.hold
@@ -68,18 +68,18 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.rows[key].Version != version {
-		return platform.Row{}, fault.New(fault.Conflict, "moved on", "read again")
+		return outside.Row{}, fault.New(fault.Conflict, "moved on", "read again")
 	}
-	t.rows[key] = platform.Row{Key: key, Version: version + 1, Value: value, Change: change}
+	t.rows[key] = outside.Row{Key: key, Version: version + 1, Value: value, Change: change}
 	t.sets++
 	if t.loseSets > 0 {
 		t.loseSets--
-		return platform.Row{}, fault.New(fault.Unavailable, "answer lost", "read back").WithRan(fault.RanUnknown)
+		return outside.Row{}, fault.New(fault.Unavailable, "answer lost", "read back").WithRan(fault.RanUnknown)
 	}
 	return t.rows[key], nil
 }
 
-func (t *fakeTable) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
+func (t *fakeTable) List(context.Context, string) ([]outside.Row, error) { return nil, nil }
 
 func (t *fakeTable) set(change func(*fakeTable)) {
 	t.mutex.Lock()
@@ -204,13 +204,13 @@
 	node    id.Node
 }
 
-func (t cutTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t cutTable) Get(ctx context.Context, key string) (outside.Row, error) {
 	t.cluster.mutex.Lock()
 	cut := t.cluster.tableCut[t.node]
 	t.cluster.mutex.Unlock()
 	if cut {
 		<-ctx.Done()
-		return platform.Row{}, ctx.Err()
+		return outside.Row{}, ctx.Err()
 	}
 	return t.fakeTable.Get(ctx, key)
 }
@@ -218,7 +218,7 @@
 func newCluster(t *testing.T, count int, fault mutant) *cluster {
 	c := &cluster{
 		t: t, fault: fault, network: peer.NewMemoryNetwork(), tableCut: map[id.Node]bool{},
-		table: &fakeTable{rows: map[string]platform.Row{}, latency: 5 * time.Millisecond},
+		table: &fakeTable{rows: map[string]outside.Row{}, latency: 5 * time.Millisecond},
 		shard: &fakeShard{machine: NewMachine(), leader: "n0", position: shard.Position{Epoch: 1, Term: 1}, cut: map[id.Node]bool{}},
 	}
 	c.shard.machine.mutant = fault
--- a/internal/config/fresh.go
+++ b/internal/config/fresh.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 const (
@@ -137,7 +137,7 @@
 // that reaches the table but no node that is ahead. The entry at the very head
 // may still lack shard 0's acknowledgement, but nothing else can ever be in
 // force at its version.
-func (s *Service) catchUpFromTable(ctx context.Context, head platform.Row) {
+func (s *Service) catchUpFromTable(ctx context.Context, head outside.Row) {
 	entries, err := s.table.entries(ctx, s.Current().Version, head)
 	if err == nil {
 		s.take(entries)
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/shard"
 	"github.com/cloverwheel/cloverwheel/internal/template"
 )
@@ -27,7 +27,7 @@
 	Transport peer.Transport
 	Mux       *peer.Mux
 	Members   func() *member.View
-	Table     platform.Table
+	Table     outside.Table
 	Log       log.Interface
 	// Registerer takes the metrics; nil keeps them private.
 	Registerer prometheus.Registerer
--- a/internal/config/settle.go
+++ b/internal/config/settle.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/shard"
 )
 
@@ -112,7 +112,7 @@
 }
 
 // adopt takes over the table's entries after a version.
-func (s *Service) adopt(ctx context.Context, after uint64, row platform.Row) error {
+func (s *Service) adopt(ctx context.Context, after uint64, row outside.Row) error {
 	entries, err := s.table.entries(ctx, after, row)
 	if err != nil {
 		return err
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -8,8 +8,8 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 const (
@@ -22,18 +22,18 @@
 )
 
 // headTable keeps accepted entries in the platform's table.
-type headTable struct{ table platform.Table }
+type headTable struct{ table outside.Table }
 
 func ringKey(version uint64) string { return fmt.Sprintf("config/change/%04d", version%ringSize) }
 
 // head returns the head's row: its table version is the configuration's
 // version, 0 when the table has none.
-func (t headTable) head(ctx context.Context) (platform.Row, error) {
+func (t headTable) head(ctx context.Context) (outside.Row, error) {
 	return t.get(ctx, headKey)
 }
 
 // get reads a row once, within the time for one round trip.
-func (t headTable) get(ctx context.Context, key string) (platform.Row, error) {
+func (t headTable) get(ctx context.Context, key string) (outside.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableAttempt)
 	defer cancel()
 	row, err := t.table.Get(ctx, key)
@@ -44,7 +44,7 @@
 }
 
 // entries reads what follows a version, up to the head's row.
-func (t headTable) entries(ctx context.Context, after uint64, head platform.Row) ([]Entry, error) {
+func (t headTable) entries(ctx context.Context, after uint64, head outside.Row) ([]Entry, error) {
 	if head.Version <= after {
 		return nil, nil
 	}
@@ -68,7 +68,7 @@
 	return append(entries, last), err
 }
 
-func decodeRow(row platform.Row, version uint64) (Entry, error) {
+func decodeRow(row outside.Row, version uint64) (Entry, error) {
 	var entry Entry
 	if err := peer.Decode(row.Value, &entry); err != nil {
 		return entry, err
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	var head platform.Row
+	var head outside.Row
 	err = retried(ctx, func(ctx context.Context) error {
 		head, err = t.head(ctx)
 		return err
@@ -111,7 +111,7 @@
 
 // archive copies the head's row to its place in the ring, unless that already
 // holds the same version or a later one.
-func (t headTable) archive(ctx context.Context, head platform.Row) error {
+func (t headTable) archive(ctx context.Context, head outside.Row) error {
 	if head.Version == 0 {
 		return nil
 	}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -15,8 +15,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/program"
 	"github.com/cloverwheel/cloverwheel/internal/shard"
 	"github.com/cloverwheel/cloverwheel/internal/template"
@@ -53,7 +53,7 @@
 	workers    map[id.Worker]*fakeWorker
 	next       []id.Worker // that Place returns in turn
 	refuse     *fault.Error
-	tools      func(context.Context, platform.ToolRequest) (string, error)
+	tools      func(context.Context, outside.ToolRequest) (string, error)
 	cancel     context.CancelFunc
 	violations []string
 	effects    map[string]int // runs of calls that must not be repeated, by program and key
@@ -131,7 +131,7 @@
 	d := New(Options{
 		Proposer: &fakeProposer{w, node}, Locator: fakeLocator{}, Mux: mux, Config: &w.configuration,
 		Transport: w.network.Transport(address(node)), Placer: fakePlacer{w}, Shards: 1,
-		Tools:    toolFunc(func(ctx context.Context, r platform.ToolRequest) (string, error) { return w.tools(ctx, r) }),
+		Tools:    toolFunc(func(ctx context.Context, r outside.ToolRequest) (string, error) { return w.tools(ctx, r) }),
 		Envelope: program.Command.Encode,
 		Machine:  func(m shard.Machine) *program.Machine { return m.(*machineAdapter).Machine },
 		Resolve: func(_ *template.Configuration, tenant id.Tenant, _ id.Template, _ map[string]string) (*template.Effective, error) {
@@ -266,9 +266,9 @@
 	return attempt(ctx, "ledger")
 }
 
-type toolFunc func(context.Context, platform.ToolRequest) (string, error)
+type toolFunc func(context.Context, outside.ToolRequest) (string, error)
 
-func (f toolFunc) Invoke(ctx context.Context, r platform.ToolRequest) (string, error) {
+func (f toolFunc) Invoke(ctx context.Context, r outside.ToolRequest) (string, error) {
 	return f(ctx, r)
 }
 
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/template"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
@@ -185,7 +185,7 @@
 func TestToolAnswerJoinsTheHistory(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		w.create("p")
-		w.tools = func(context.Context, platform.ToolRequest) (string, error) { return "40 bob", nil }
+		w.tools = func(context.Context, outside.ToolRequest) (string, error) { return "40 bob", nil }
 		got := w.call(0, askTool("p", "read"))
 		require.NoError(t, got.err)
 		assert.Equal(t, "40 bob", got.answer.Message.Content)
@@ -201,7 +201,7 @@
 			w.create("q")
 			calls := 0
 			hung := make(chan struct{})
-			w.tools = func(context.Context, platform.ToolRequest) (string, error) {
+			w.tools = func(context.Context, outside.ToolRequest) (string, error) {
 				w.mutex.Lock()
 				calls++
 				w.mutex.Unlock()
@@ -230,7 +230,7 @@
 		inWorld(t, func(t *testing.T, w *world) {
 			w.create("p")
 			calls := 0
-			w.tools = func(ctx context.Context, _ platform.ToolRequest) (string, error) {
+			w.tools = func(ctx context.Context, _ outside.ToolRequest) (string, error) {
 				calls++
 				_ = wait.For(ctx, tokenTime*5)
 				return "40 bob", ctx.Err()
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -12,8 +12,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/config"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/program"
 	"github.com/cloverwheel/cloverwheel/internal/shard"
 	"github.com/cloverwheel/cloverwheel/internal/template"
@@ -43,7 +43,7 @@
 	Config    config.Source
 	Resolve   Resolver
 	Placer    Placer
-	Tools     platform.Tools
+	Tools     outside.Tools
 	Shards    uint32
 	// Envelope encodes a command for the shard's composite machine, and Machine
 	// finds the programs in it.
--- a/internal/dispatch/toolcall.go
+++ b/internal/dispatch/toolcall.go
@@ -7,7 +7,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/chat"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/program"
 	"github.com/cloverwheel/cloverwheel/internal/template"
 )
@@ -79,7 +79,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := platform.ToolRequest{
+	request := outside.ToolRequest{
 		URL: tool.URL, Request: id.NewRequest(r.program, call.Number, call.Attempt),
 		Name: tool.Name, Arguments: call.Tool.Arguments, Deadline: time.Now().Add(timeout),
 	}
--- a/internal/ledger/drawer.go
+++ b/internal/ledger/drawer.go
@@ -9,8 +9,8 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
@@ -33,7 +33,7 @@
 	waiting *drawBatch // not yet under way
 	running bool
 
-	row   platform.Row // as last seen; used by the running draw only
+	row   outside.Row // as last seen; used by the running draw only
 	known bool
 }
 
@@ -165,7 +165,7 @@
 	return decodeRow(d.row)
 }
 
-func (d *drawer) get(ctx context.Context) (platform.Row, error) {
+func (d *drawer) get(ctx context.Context) (outside.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableAttempt)
 	defer cancel()
 	return d.service.options.Table.Get(ctx, rowKey(d.shard))
@@ -184,7 +184,7 @@
 	cancel()
 	if err == nil {
 		d.service.metrics.draws.Inc()
-		d.row = platform.Row{Key: row.Key, Version: row.Version, Value: value, Change: change}
+		d.row = outside.Row{Key: row.Key, Version: row.Version, Value: value, Change: change}
 		return true, nil
 	}
 	if d.service.mutant == ignoreTableConflict {
--- a/internal/ledger/row.go
+++ b/internal/ledger/row.go
@@ -7,8 +7,8 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // rowKey names the table's row for all tenants of a shard, so that one write
@@ -50,7 +50,7 @@
 	return entryKey{Tenant: w.Tenant, Start: w.Period.UnixNano()}
 }
 
-func decodeRow(row platform.Row) (rowState, error) {
+func decodeRow(row outside.Row) (rowState, error) {
 	state := rowState{Entries: map[entryKey]rowEntry{}}
 	if row.Version == 0 {
 		return state, nil
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -11,8 +11,8 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/shard"
 )
 
@@ -20,7 +20,7 @@
 type Options struct {
 	Proposer shard.Proposer
 	Mux      *peer.Mux
-	Table    platform.Table
+	Table    outside.Table
 	Log      log.Interface
 	// Registerer takes the metrics; nil keeps them private.
 	Registerer prometheus.Registerer
--- a/internal/ledger/world_test.go
+++ b/internal/ledger/world_test.go
@@ -14,8 +14,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/shard"
 	"github.com/cloverwheel/cloverwheel/internal/template"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
@@ -24,7 +24,7 @@
 // fakeTable is the platform's table in memory, with faults.
 type fakeTable struct {
 	mutex   sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]outside.Row
 	down    bool
 	latency time.Duration
 	lose    int // answers of the next writes that are lost after the effect
@@ -40,33 +40,33 @@
 	return nil
 }
 
-func (t *fakeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *fakeTable) Get(ctx context.Context, key string) (outside.Row, error) {
 	if err := t.reach(ctx); err != nil {
-		return platform.Row{}, err
+		return outside.Row{}, err
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.rows[key], nil
 }
 
-func (t *fakeTable) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, change string) (platform.Row, error) {
+func (t *fakeTable) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, change string) (outside.Row, error) {
 	if err := t.reach(ctx); err != nil {
-		return platform.Row{}, err
+		return outside.Row{}, err
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.rows[key].Version != version {
-		return platform.Row{}, fault.New(fault.Conflict, "moved on", "read again")
+		return outside.Row{}, fault.New(fault.Conflict, "moved on", "read again")
 	}
-	t.rows[key] = platform.Row{Key: key, Version: version + 1, Value: value, Change: change}
+	t.rows[key] = outside.Row{Key: key, Version: version + 1, Value: value, Change: change}
 	if t.lose > 0 {
 		t.lose--
-		return platform.Row{}, fault.New(fault.Unavailable, "answer lost", "read back").WithRan(fault.RanUnknown)
+		return outside.Row{}, fault.New(fault.Unavailable, "answer lost", "read back").WithRan(fault.RanUnknown)
 	}
 	return t.rows[key], nil
 }
 
-func (t *fakeTable) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
+func (t *fakeTable) List(context.Context, string) ([]outside.Row, error) { return nil, nil }
 
 // drawn reads what the table has for a tenant's period.
 func (t *fakeTable) drawn(key entryKey) int64 {
@@ -171,7 +171,7 @@
 func newWorld(ctx context.Context, fault mutant, inquire, sparing bool) *world {
 	ctx, stop := context.WithCancel(ctx)
 	w := &world{
-		table: &fakeTable{rows: map[string]platform.Row{}, latency: 5 * time.Millisecond},
+		table: &fakeTable{rows: map[string]outside.Row{}, latency: 5 * time.Millisecond},
 		shard: &fakeShard{machine: NewMachine(), believed: map[id.Node]shard.Position{}, latency: time.Millisecond},
 		nodes: map[id.Node]*peer.Mux{}, stop: stop, calls: map[id.Request]*call{},
 	}
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -14,7 +14,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/engine"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/node"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/settings"
 	"github.com/cloverwheel/cloverwheel/internal/standin"
 	"github.com/cloverwheel/cloverwheel/internal/template"
@@ -146,15 +146,15 @@
 func (c *Cluster) platform() node.Platform {
 	fleet := c.options.Fleet
 	transport := &http.Transport{MaxIdleConnsPerHost: 256}
-	options := func(address string) platform.Options {
-		return platform.Options{Address: address, Transport: transport}
+	options := func(address string) outside.Options {
+		return outside.Options{Address: address, Transport: transport}
 	}
 	return node.Platform{
-		Table:    platform.NewHTTPTable(options(fleet.TableAddress())),
-		Objects:  platform.NewHTTPObjects(options(fleet.ObjectsAddress())),
-		Machines: platform.NewHTTPMachines(options(fleet.MachinesAddress())),
-		Tools:    platform.NewHTTPTools(platform.Options{Transport: transport}),
-		Dial: func(machine platform.Machine) engine.Client {
+		Table:    outside.NewHTTPTable(options(fleet.TableAddress())),
+		Objects:  outside.NewHTTPObjects(options(fleet.ObjectsAddress())),
+		Machines: outside.NewHTTPMachines(options(fleet.MachinesAddress())),
+		Tools:    outside.NewHTTPTools(outside.Options{Transport: transport}),
+		Dial: func(machine outside.Machine) engine.Client {
 			return engine.NewHTTP(engine.HTTPOptions{Address: machine.Address, Transport: transport})
 		},
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,8 +17,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/gateway"
 	"github.com/cloverwheel/cloverwheel/internal/ledger"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/settings"
 	"github.com/cloverwheel/cloverwheel/internal/shard"
 	"github.com/cloverwheel/cloverwheel/internal/template"
@@ -30,12 +30,12 @@
 
 // Platform holds the clients of the platform's services.
 type Platform struct {
-	Table    platform.Table
-	Objects  platform.Objects
-	Machines platform.Machines
-	Tools    platform.Tools
+	Table    outside.Table
+	Objects  outside.Objects
+	Machines outside.Machines
+	Tools    outside.Tools
 	// Dial returns the client of an engine.
-	Dial func(platform.Machine) engine.Client
+	Dial func(outside.Machine) engine.Client
 }
 
 // Options configure a Node. Settings and Platform are required.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -9,8 +9,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // announceInterval is how often a node repeats itself to the machine list.
@@ -124,10 +124,10 @@
 	}
 }
 
-func (n *Node) machine() platform.Machine {
-	return platform.Machine{
+func (n *Node) machine() outside.Machine {
+	return outside.Machine{
 		ID:      string(n.self.Node),
-		Kind:    platform.KindNode,
+		Kind:    outside.KindNode,
 		Address: string(n.self.Address),
 		Zone:    n.self.Zone,
 		Region:  n.self.Region,
@@ -146,7 +146,7 @@
 
 // seeds lists other nodes to join through, from the platform's list.
 func (n *Node) seeds(ctx context.Context) ([]peer.Address, error) {
-	machines, err := n.options.Platform.Machines.List(ctx, platform.KindNode)
+	machines, err := n.options.Platform.Machines.List(ctx, outside.KindNode)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/platform.go
+++ b/internal/outside/outside.go
@@ -1,6 +1,6 @@
-// Package platform holds the narrow interfaces to the services that the
+// Package outside holds the narrow interfaces to the services that the
 // operators' platform provides, and one HTTP client for each of them.
-package platform
+package outside
 
 import (
 	"context"
--- a/internal/shard/cluster_test.go
+++ b/internal/shard/cluster_test.go
@@ -17,8 +17,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // listMachine keeps the commands in order.
@@ -43,15 +43,15 @@
 // fakePlatform is table, object store and machine list in memory.
 type fakePlatform struct {
 	mutex      sync.Mutex
-	rows       map[string]platform.Row
+	rows       map[string]outside.Row
 	objects    map[string][]byte
-	machines   map[string]platform.Machine
+	machines   map[string]outside.Machine
 	down       bool
 	loseAnswer int // of that many next writes
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{rows: map[string]platform.Row{}, objects: map[string][]byte{}, machines: map[string]platform.Machine{}}
+	return &fakePlatform{rows: map[string]outside.Row{}, objects: map[string][]byte{}, machines: map[string]outside.Machine{}}
 }
 
 func (p *fakePlatform) do(work func() error) error {
@@ -77,17 +77,17 @@
 	p.machines[string(node)] = machine
 }
 
-func (p *fakePlatform) Get(_ context.Context, key string) (row platform.Row, err error) {
+func (p *fakePlatform) Get(_ context.Context, key string) (row outside.Row, err error) {
 	err = p.do(func() error { row = p.rows[key]; return nil })
 	return row, err
 }
 
-func (p *fakePlatform) CompareAndSet(_ context.Context, key string, version uint64, value []byte, change string) (row platform.Row, err error) {
+func (p *fakePlatform) CompareAndSet(_ context.Context, key string, version uint64, value []byte, change string) (row outside.Row, err error) {
 	err = p.do(func() error {
 		if p.rows[key].Version != version {
 			return fault.New(fault.Conflict, "moved on", "read again")
 		}
-		row = platform.Row{Key: key, Version: version + 1, Value: value, Change: change}
+		row = outside.Row{Key: key, Version: version + 1, Value: value, Change: change}
 		p.rows[key] = row
 		if p.loseAnswer > 0 {
 			p.loseAnswer--
@@ -102,7 +102,7 @@
 // rowStore and objectStore split the two List methods of the platform.
 type rowStore struct{ *fakePlatform }
 
-func (p rowStore) List(_ context.Context, prefix string) (rows []platform.Row, err error) {
+func (p rowStore) List(_ context.Context, prefix string) (rows []outside.Row, err error) {
 	err = p.do(func() error {
 		for key, row := range p.rows {
 			if strings.HasPrefix(key, prefix) {
@@ -143,7 +143,7 @@
 
 type machineList struct{ p *fakePlatform }
 
-func (m machineList) List(context.Context, platform.MachineKind) (list []platform.Machine, err error) {
+func (m machineList) List(context.Context, outside.MachineKind) (list []outside.Machine, err error) {
 	err = m.p.do(func() error {
 		for _, machine := range m.p.machines {
 			list = append(list, machine)
@@ -153,7 +153,7 @@
 	return list, err
 }
 
-func (m machineList) Register(context.Context, platform.Machine) error { return nil }
+func (m machineList) Register(context.Context, outside.Machine) error { return nil }
 
 // cluster is a set of hosts on a memory network.
 type cluster struct {
@@ -220,7 +220,7 @@
 	started := &testNode{host: host, member: self, cancel: cancel, done: make(chan struct{})}
 	c.nodes[node] = started
 	c.platform.mutex.Lock()
-	c.platform.machines[string(node)] = platform.Machine{ID: string(node), Address: string(self.Address), Zone: zone}
+	c.platform.machines[string(node)] = outside.Machine{ID: string(node), Address: string(self.Address), Zone: zone}
 	c.platform.mutex.Unlock()
 	c.change(func(members []member.Member) []member.Member { return append(without(members, node), self) })
 	go func() {
--- a/internal/shard/options.go
+++ b/internal/shard/options.go
@@ -9,8 +9,8 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // Defaults of Options.
@@ -35,9 +35,9 @@
 	Mux       *peer.Mux
 	// Members returns the present view of the cluster; nil while it is unknown.
 	Members  func() *member.View
-	Table    platform.Table
-	Objects  platform.Objects  // nil: nothing is stored and nothing can be read back
-	Machines platform.Machines // nil: no machine is ever known to be gone
+	Table    outside.Table
+	Objects  outside.Objects  // nil: nothing is stored and nothing can be read back
+	Machines outside.Machines // nil: no machine is ever known to be gone
 	Shards   uint32
 	Replicas int
 	// NewMachine makes the empty state machine of a shard.
--- a/internal/shard/recover.go
+++ b/internal/shard/recover.go
@@ -9,8 +9,8 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // Peer methods of the recovery of a group that has lost its majority.
@@ -182,7 +182,7 @@
 
 // recoverAll looks into shards that have been without a leader for long, and
 // founds those anew whose majority is lost for good.
-func (h *Host) recoverAll(ctx context.Context, shards []id.Shard, rows map[id.Shard]platform.Row) {
+func (h *Host) recoverAll(ctx context.Context, shards []id.Shard, rows map[id.Shard]outside.Row) {
 	shards = slices.DeleteFunc(slices.Clone(shards), func(shard id.Shard) bool { return rows[shard].Version == 0 })
 	if len(shards) == 0 {
 		return
--- a/internal/shard/row.go
+++ b/internal/shard/row.go
@@ -14,8 +14,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 const (
@@ -46,7 +46,7 @@
 
 func rowKey(shard id.Shard) string { return fmt.Sprintf("%s%05d", rowPrefix, shard) }
 
-func decodeRow(row platform.Row) (groupRow, error) {
+func decodeRow(row outside.Row) (groupRow, error) {
 	var decoded groupRow
 	if row.Version == 0 {
 		return decoded, nil
@@ -110,14 +110,14 @@
 	silent   []id.Shard // without a living leader for longer than RecoverAfter
 }
 
-func (h *Host) readRows(ctx context.Context) (map[id.Shard]platform.Row, error) {
+func (h *Host) readRows(ctx context.Context) (map[id.Shard]outside.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	list, err := h.options.Table.List(ctx, rowPrefix)
 	if err != nil {
 		return nil, err
 	}
-	rows := map[id.Shard]platform.Row{}
+	rows := map[id.Shard]outside.Row{}
 	for _, row := range list {
 		var shard uint32
 		if _, err := fmt.Sscanf(row.Key, rowPrefix+"%05d", &shard); err == nil {
@@ -128,7 +128,7 @@
 }
 
 // createAll creates the groups that have no row yet.
-func (h *Host) createAll(ctx context.Context, shards []id.Shard, rows map[id.Shard]platform.Row) {
+func (h *Host) createAll(ctx context.Context, shards []id.Shard, rows map[id.Shard]outside.Row) {
 	creating, ctx := errgroup.WithContext(ctx)
 	creating.SetLimit(parallelCreations)
 	for _, shard := range shards {
@@ -187,10 +187,10 @@
 
 // writeRow writes a group's row. An answer that is lost, or refused because an
 // earlier try took effect, is settled by reading the row's change id.
-func (h *Host) writeRow(ctx context.Context, shard id.Shard, version uint64, row groupRow, change string) (platform.Row, error) {
+func (h *Host) writeRow(ctx context.Context, shard id.Shard, version uint64, row groupRow, change string) (outside.Row, error) {
 	value, err := json.Marshal(row)
 	if err != nil {
-		return platform.Row{}, eris.Wrap(err, "encode group row")
+		return outside.Row{}, eris.Wrap(err, "encode group row")
 	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
@@ -202,7 +202,7 @@
 	if readErr == nil && present.Change == change {
 		return present, nil
 	}
-	return platform.Row{}, err
+	return outside.Row{}, err
 }
 
 // found starts a group with this replica as its only member.
--- a/internal/shard/survey.go
+++ b/internal/shard/survey.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/cloverwheel/cloverwheel/internal/id"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // survey is what is known of the nodes when a loss is looked into.
@@ -26,7 +26,7 @@
 	if h.options.Machines != nil {
 		listCtx, cancel := context.WithTimeout(ctx, tableTimeout)
 		defer cancel()
-		machines, err := h.options.Machines.List(listCtx, platform.KindNode)
+		machines, err := h.options.Machines.List(listCtx, outside.KindNode)
 		if err != nil {
 			return found, eris.Wrap(err, "list machines")
 		}
--- a/internal/simcluster/cluster_test.go
+++ b/internal/simcluster/cluster_test.go
@@ -20,7 +20,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/enginemodel"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/node"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/settings"
 	"github.com/cloverwheel/cloverwheel/internal/standin"
 	"github.com/cloverwheel/cloverwheel/internal/template"
@@ -81,7 +81,7 @@
 // simEngine is an engine and its place in the machine list.
 type simEngine struct {
 	*standin.Engine
-	machine platform.Machine
+	machine outside.Machine
 }
 
 func TestMain(m *testing.M) {
@@ -129,14 +129,14 @@
 	return c
 }
 
-func (c *cluster) startEngine(name, zone string, contexts platform.Objects) {
+func (c *cluster) startEngine(name, zone string, contexts outside.Objects) {
 	model := enginemodel.DefaultOptions
 	model.Model = testModel
 	model.MemoryTokens = memoryTokens
 	e := &simEngine{
 		Engine: standin.NewEngine(standin.EngineOptions{Name: name, Model: model, Store: contexts}),
-		machine: platform.Machine{
-			ID: name, Kind: platform.KindWorker, Address: name, Zone: zone, Region: "nairobi", Models: []id.Model{testModel},
+		machine: outside.Machine{
+			ID: name, Kind: outside.KindWorker, Address: name, Zone: zone, Region: "nairobi", Models: []id.Model{testModel},
 		},
 	}
 	c.engines = append(c.engines, e)
@@ -233,7 +233,7 @@
 		Objects:  objectsLink{way, c.objects},
 		Machines: machinesLink{way, c.machines},
 		Tools:    c.tools,
-		Dial: func(machine platform.Machine) engine.Client {
+		Dial: func(machine outside.Machine) engine.Client {
 			for _, e := range c.engines {
 				if e.machine.Address == machine.Address {
 					return engineLink{link{c.network, address, machine.Address}, e.Engine}
--- a/internal/simcluster/links_test.go
+++ b/internal/simcluster/links_test.go
@@ -6,7 +6,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/engine"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 )
 
 // link is a process's way to another that is not a node.
@@ -38,48 +38,48 @@
 // tableLink is a node's way to the table.
 type tableLink struct {
 	link
-	table platform.Table
+	table outside.Table
 }
 
-// Get implements platform.Table.
-func (t tableLink) Get(ctx context.Context, key string) (platform.Row, error) {
-	return ask(ctx, t.link, func(ctx context.Context) (platform.Row, error) { return t.table.Get(ctx, key) })
+// Get implements outside.Table.
+func (t tableLink) Get(ctx context.Context, key string) (outside.Row, error) {
+	return ask(ctx, t.link, func(ctx context.Context) (outside.Row, error) { return t.table.Get(ctx, key) })
 }
 
-// CompareAndSet implements platform.Table.
-func (t tableLink) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, change string) (platform.Row, error) {
-	return ask(ctx, t.link, func(ctx context.Context) (platform.Row, error) {
+// CompareAndSet implements outside.Table.
+func (t tableLink) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, change string) (outside.Row, error) {
+	return ask(ctx, t.link, func(ctx context.Context) (outside.Row, error) {
 		return t.table.CompareAndSet(ctx, key, version, value, change)
 	})
 }
 
-// List implements platform.Table.
-func (t tableLink) List(ctx context.Context, prefix string) ([]platform.Row, error) {
-	return ask(ctx, t.link, func(ctx context.Context) ([]platform.Row, error) { return t.table.List(ctx, prefix) })
+// List implements outside.Table.
+func (t tableLink) List(ctx context.Context, prefix string) ([]outside.Row, error) {
+	return ask(ctx, t.link, func(ctx context.Context) ([]outside.Row, error) { return t.table.List(ctx, prefix) })
 }
 
 // objectsLink is a node's way to the object store.
 type objectsLink struct {
 	link
-	objects platform.Objects
+	objects outside.Objects
 }
 
-// Put implements platform.Objects.
+// Put implements outside.Objects.
 func (o objectsLink) Put(ctx context.Context, key string, value []byte) error {
 	return o.tell(ctx, func(ctx context.Context) error { return o.objects.Put(ctx, key, value) })
 }
 
-// Get implements platform.Objects.
+// Get implements outside.Objects.
 func (o objectsLink) Get(ctx context.Context, key string) ([]byte, error) {
 	return ask(ctx, o.link, func(ctx context.Context) ([]byte, error) { return o.objects.Get(ctx, key) })
 }
 
-// List implements platform.Objects.
+// List implements outside.Objects.
 func (o objectsLink) List(ctx context.Context, prefix string) ([]string, error) {
 	return ask(ctx, o.link, func(ctx context.Context) ([]string, error) { return o.objects.List(ctx, prefix) })
 }
 
-// Delete implements platform.Objects.
+// Delete implements outside.Objects.
 func (o objectsLink) Delete(ctx context.Context, key string) error {
 	return o.tell(ctx, func(ctx context.Context) error { return o.objects.Delete(ctx, key) })
 }
@@ -87,16 +87,16 @@
 // machinesLink is a node's way to the machine list.
 type machinesLink struct {
 	link
-	machines platform.Machines
+	machines outside.Machines
 }
 
-// List implements platform.Machines.
-func (m machinesLink) List(ctx context.Context, kind platform.MachineKind) ([]platform.Machine, error) {
-	return ask(ctx, m.link, func(ctx context.Context) ([]platform.Machine, error) { return m.machines.List(ctx, kind) })
+// List implements outside.Machines.
+func (m machinesLink) List(ctx context.Context, kind outside.MachineKind) ([]outside.Machine, error) {
+	return ask(ctx, m.link, func(ctx context.Context) ([]outside.Machine, error) { return m.machines.List(ctx, kind) })
 }
 
-// Register implements platform.Machines.
-func (m machinesLink) Register(ctx context.Context, machine platform.Machine) error {
+// Register implements outside.Machines.
+func (m machinesLink) Register(ctx context.Context, machine outside.Machine) error {
 	return m.tell(ctx, func(ctx context.Context) error { return m.machines.Register(ctx, machine) })
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -9,7 +9,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/engine"
 	"github.com/cloverwheel/cloverwheel/internal/enginemodel"
 	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 )
 
 // Defaults of EngineOptions.
@@ -42,7 +42,7 @@
 	EventGap int
 	// Store takes exports, and is shared by engines that exchange them; nil: one
 	// of its own.
-	Store platform.Objects
+	Store outside.Objects
 	// Weights is where models and adapters are loaded from; nil: no limit.
 	Weights *WeightStore
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -13,7 +13,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 )
 
 // DefaultHeartbeat is how often engines announce themselves.
@@ -47,7 +47,7 @@
 // FleetEngine is one engine of a fleet.
 type FleetEngine struct {
 	*Engine
-	Machine platform.Machine // as first announced; heartbeats name the models loaded since
+	Machine outside.Machine // as first announced; heartbeats name the models loaded since
 
 	serverMutex sync.Mutex
 	server      *Server
@@ -156,9 +156,9 @@
 	if err != nil {
 		return err
 	}
-	started := &FleetEngine{Engine: e, server: server, Machine: platform.Machine{
+	started := &FleetEngine{Engine: e, server: server, Machine: outside.Machine{
 		ID:      options.Name,
-		Kind:    platform.KindWorker,
+		Kind:    outside.KindWorker,
 		Address: server.Address(),
 		Zone:    zone,
 		Region:  f.options.Region,
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -13,7 +13,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/engine"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/standin"
 )
 
@@ -24,7 +24,7 @@
 	order := engine.Order{Kind: engine.LoadModel, Model: "harvest-log", Fence: owner}
 	require.NoError(t, fleet.Engines[0].Order(t.Context(), order))
 	require.Eventually(t, func() bool {
-		listed, err := fleet.Machines.List(t.Context(), platform.KindWorker)
+		listed, err := fleet.Machines.List(t.Context(), outside.KindWorker)
 		return err == nil && listed[0].Models[0] == order.Model && listed[1].Models[0] == testModel
 	}, patience, time.Millisecond)
 }
@@ -71,8 +71,8 @@
 
 func TestFleetServesEnginesEndToEnd(t *testing.T) {
 	fleet := startFleet(t, 2)
-	machines := platform.NewHTTPMachines(platform.Options{Address: fleet.MachinesAddress()})
-	listed, err := machines.List(t.Context(), platform.KindWorker)
+	machines := outside.NewHTTPMachines(outside.Options{Address: fleet.MachinesAddress()})
+	listed, err := machines.List(t.Context(), outside.KindWorker)
 	require.NoError(t, err)
 	require.Len(t, listed, 2)
 	require.Equal(t, "karen", listed[1].Zone)
--- a/internal/standin/handlers.go
+++ b/internal/standin/handlers.go
@@ -8,7 +8,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/cloverwheel/cloverwheel/internal/httpjson"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 )
 
 // Administrative endpoints besides FaultsPath.
@@ -29,23 +29,23 @@
 func TableHandler(table *MemoryTable) http.Handler {
 	router := mux.NewRouter()
 	handleFaults(router, &table.Switch)
-	router.HandleFunc(platform.TablePath, func(w http.ResponseWriter, r *http.Request) {
+	router.HandleFunc(outside.TablePath, func(w http.ResponseWriter, r *http.Request) {
 		query := r.URL.Query()
-		if query.Has(platform.KeyParameter) {
-			row, err := table.Get(r.Context(), query.Get(platform.KeyParameter))
-			answer(w, platform.RowBody(row), err)
+		if query.Has(outside.KeyParameter) {
+			row, err := table.Get(r.Context(), query.Get(outside.KeyParameter))
+			answer(w, outside.RowBody(row), err)
 			return
 		}
-		rows, err := table.List(r.Context(), query.Get(platform.PrefixParameter))
-		body := platform.RowsBody{Rows: make([]platform.RowBody, len(rows))}
+		rows, err := table.List(r.Context(), query.Get(outside.PrefixParameter))
+		body := outside.RowsBody{Rows: make([]outside.RowBody, len(rows))}
 		for i, row := range rows {
-			body.Rows[i] = platform.RowBody(row)
+			body.Rows[i] = outside.RowBody(row)
 		}
 		answer(w, body, err)
 	}).Methods(http.MethodGet)
-	router.HandleFunc(platform.TablePath, post(func(ctx context.Context, write platform.RowBody) (any, error) {
+	router.HandleFunc(outside.TablePath, post(func(ctx context.Context, write outside.RowBody) (any, error) {
 		row, err := table.CompareAndSet(ctx, write.Key, write.Version, write.Value, write.Change)
-		return platform.RowBody(row), err
+		return outside.RowBody(row), err
 	})).Methods(http.MethodPut)
 	return router
 }
@@ -54,8 +54,8 @@
 func ObjectsHandler(objects *MemoryObjects) http.Handler {
 	router := mux.NewRouter()
 	handleFaults(router, &objects.Switch)
-	router.HandleFunc(platform.ObjectPath, func(w http.ResponseWriter, r *http.Request) {
-		key := r.URL.Query().Get(platform.KeyParameter)
+	router.HandleFunc(outside.ObjectPath, func(w http.ResponseWriter, r *http.Request) {
+		key := r.URL.Query().Get(outside.KeyParameter)
 		switch r.Method {
 		case http.MethodGet:
 			value, err := objects.Get(r.Context(), key)
@@ -74,9 +74,9 @@
 			answer(w, empty{}, objects.Delete(r.Context(), key))
 		}
 	}).Methods(http.MethodGet, http.MethodPut, http.MethodDelete)
-	router.HandleFunc(platform.ObjectListPath, func(w http.ResponseWriter, r *http.Request) {
-		keys, err := objects.List(r.Context(), r.URL.Query().Get(platform.PrefixParameter))
-		answer(w, platform.KeysBody{Keys: keys}, err)
+	router.HandleFunc(outside.ObjectListPath, func(w http.ResponseWriter, r *http.Request) {
+		keys, err := objects.List(r.Context(), r.URL.Query().Get(outside.PrefixParameter))
+		answer(w, outside.KeysBody{Keys: keys}, err)
 	}).Methods(http.MethodGet)
 	return router
 }
@@ -85,17 +85,17 @@
 func MachinesHandler(machines *MemoryMachines) http.Handler {
 	router := mux.NewRouter()
 	handleFaults(router, &machines.Switch)
-	router.HandleFunc(platform.MachinesPath, func(w http.ResponseWriter, r *http.Request) {
-		kind := platform.MachineKind(r.URL.Query().Get(platform.KindParameter))
+	router.HandleFunc(outside.MachinesPath, func(w http.ResponseWriter, r *http.Request) {
+		kind := outside.MachineKind(r.URL.Query().Get(outside.KindParameter))
 		listed, err := machines.List(r.Context(), kind)
-		body := platform.MachinesBody{Machines: make([]platform.MachineBody, len(listed))}
+		body := outside.MachinesBody{Machines: make([]outside.MachineBody, len(listed))}
 		for i, machine := range listed {
-			body.Machines[i] = platform.MachineBody(machine)
+			body.Machines[i] = outside.MachineBody(machine)
 		}
 		answer(w, body, err)
 	}).Methods(http.MethodGet)
-	router.HandleFunc(platform.MachinesPath, post(func(ctx context.Context, machine platform.MachineBody) (any, error) {
-		return empty{}, machines.Register(ctx, platform.Machine(machine))
+	router.HandleFunc(outside.MachinesPath, post(func(ctx context.Context, machine outside.MachineBody) (any, error) {
+		return empty{}, machines.Register(ctx, outside.Machine(machine))
 	})).Methods(http.MethodPost)
 	router.HandleFunc(MachinePath, post(func(_ context.Context, command MachineCommand) (any, error) {
 		if command.Gone {
@@ -110,15 +110,15 @@
 func ToolsHandler(tools *MemoryTools) http.Handler {
 	router := mux.NewRouter()
 	handleFaults(router, &tools.Switch)
-	router.HandleFunc(ToolsPath, post(func(ctx context.Context, body platform.ToolBody) (any, error) {
-		made, err := tools.Invoke(ctx, platform.ToolRequest{Request: body.Request, Name: body.Name, Arguments: body.Arguments})
-		return platform.ToolAnswerBody{Answer: made}, err
+	router.HandleFunc(ToolsPath, post(func(ctx context.Context, body outside.ToolBody) (any, error) {
+		made, err := tools.Invoke(ctx, outside.ToolRequest{Request: body.Request, Name: body.Name, Arguments: body.Arguments})
+		return outside.ToolAnswerBody{Answer: made}, err
 	})).Methods(http.MethodPost)
 	router.HandleFunc(ToolsPath, func(w http.ResponseWriter, r *http.Request) {
-		var asked platform.ToolRequest
+		var asked outside.ToolRequest
 		asked.Request = requestParameter(r)
 		made, err := tools.Outcome(r.Context(), asked)
-		answer(w, platform.ToolAnswerBody{Answer: made}, err)
+		answer(w, outside.ToolAnswerBody{Answer: made}, err)
 	}).Methods(http.MethodGet)
 	router.HandleFunc(RecordPath, func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, tools.Record())
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 )
 
 const machineService = "machine list"
@@ -23,7 +23,7 @@
 }
 
 // MemoryMachines is the platform's machine list in memory. It implements
-// platform.Machines.
+// outside.Machines.
 type MemoryMachines struct {
 	Switch
 	options MachinesOptions
@@ -41,7 +41,7 @@
 
 type sighting struct {
 	at      time.Time
-	machine platform.Machine
+	machine outside.Machine
 }
 
 // NewMemoryMachines returns an empty list.
@@ -52,9 +52,9 @@
 	return &MemoryMachines{options: options, entries: map[string]*machineEntry{}}
 }
 
-// Register implements platform.Machines. A machine that is gone for good is
+// Register implements outside.Machines. A machine that is gone for good is
 // refused.
-func (m *MemoryMachines) Register(ctx context.Context, machine platform.Machine) error {
+func (m *MemoryMachines) Register(ctx context.Context, machine outside.Machine) error {
 	return m.write(ctx, machineService, func() error {
 		m.mutex.Lock()
 		defer m.mutex.Unlock()
@@ -95,7 +95,7 @@
 }
 
 // see records a sighting and forgets those that no listing can reach.
-func (m *MemoryMachines) see(entry *machineEntry, machine platform.Machine) {
+func (m *MemoryMachines) see(entry *machineEntry, machine outside.Machine) {
 	machine.Leaving = machine.Leaving || entry.leaving
 	machine.Gone = entry.gone
 	machine.Models = slices.Clone(machine.Models)
@@ -108,10 +108,10 @@
 	entry.sightings = append(slices.Clone(entry.sightings[first:]), sighting{at: now, machine: machine})
 }
 
-// List implements platform.Machines; machines are sorted by identifier. An
+// List implements outside.Machines; machines are sorted by identifier. An
 // empty kind lists all.
-func (m *MemoryMachines) List(ctx context.Context, kind platform.MachineKind) ([]platform.Machine, error) {
-	var found []platform.Machine
+func (m *MemoryMachines) List(ctx context.Context, kind outside.MachineKind) ([]outside.Machine, error) {
+	var found []outside.Machine
 	err := m.read(ctx, machineService, func() error {
 		m.mutex.Lock()
 		defer m.mutex.Unlock()
@@ -127,17 +127,17 @@
 	if err != nil {
 		return nil, err
 	}
-	slices.SortFunc(found, func(a, b platform.Machine) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(found, func(a, b outside.Machine) int { return cmp.Compare(a.ID, b.ID) })
 	return found, nil
 }
 
 // at returns the machine as it stood at a time, if it was listed then.
-func (e *machineEntry) at(when time.Time, timeToLive time.Duration) (platform.Machine, bool) {
+func (e *machineEntry) at(when time.Time, timeToLive time.Duration) (outside.Machine, bool) {
 	for _, seen := range slices.Backward(e.sightings) {
 		if seen.at.After(when) {
 			continue
 		}
 		return seen.machine, seen.machine.Gone || when.Sub(seen.at) <= timeToLive
 	}
-	return platform.Machine{}, false
+	return outside.Machine{}, false
 }
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/standin"
 )
 
@@ -20,12 +20,12 @@
 const patience = 30 * time.Second
 
 // serve starts a stand-in and returns client options with a time limit.
-func serve(t *testing.T, handler http.Handler, timeout time.Duration) platform.Options {
+func serve(t *testing.T, handler http.Handler, timeout time.Duration) outside.Options {
 	t.Helper()
 	server, err := standin.Serve("", handler)
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, server.Close()) })
-	return platform.Options{Address: server.Address(), Timeout: timeout}
+	return outside.Options{Address: server.Address(), Timeout: timeout}
 }
 
 func requireFault(t *testing.T, err error, code fault.Code, ran fault.Ran) *fault.Error {
@@ -38,38 +38,38 @@
 }
 
 // onTables runs a test against the table in memory and over HTTP.
-func onTables(t *testing.T, test func(t *testing.T, memory *standin.MemoryTable, table platform.Table)) {
+func onTables(t *testing.T, test func(t *testing.T, memory *standin.MemoryTable, table outside.Table)) {
 	t.Run("memory", func(t *testing.T) {
 		memory := standin.NewMemoryTable()
 		test(t, memory, memory)
 	})
 	t.Run("http", func(t *testing.T) {
 		memory := standin.NewMemoryTable()
-		test(t, memory, platform.NewHTTPTable(serve(t, standin.TableHandler(memory), patience)))
+		test(t, memory, outside.NewHTTPTable(serve(t, standin.TableHandler(memory), patience)))
 	})
 }
 
 func TestTableWritesByCompareAndSet(t *testing.T) {
-	onTables(t, func(t *testing.T, _ *standin.MemoryTable, table platform.Table) {
+	onTables(t, func(t *testing.T, _ *standin.MemoryTable, table outside.Table) {
 		ctx := t.Context()
 		row, err := table.CompareAndSet(ctx, "shard/1", 0, []byte("a"), "change-1")
 		require.NoError(t, err)
-		require.Equal(t, platform.Row{Key: "shard/1", Version: 1, Value: []byte("a"), Change: "change-1"}, row)
+		require.Equal(t, outside.Row{Key: "shard/1", Version: 1, Value: []byte("a"), Change: "change-1"}, row)
 		_, err = table.CompareAndSet(ctx, "shard/1", 0, []byte("b"), "change-2")
 		requireFault(t, err, fault.Conflict, fault.RanNo)
 		_, err = table.CompareAndSet(ctx, "tenant/1", 0, []byte("c"), "change-3")
 		require.NoError(t, err)
 		listed, err := table.List(ctx, "shard/")
 		require.NoError(t, err)
-		require.Equal(t, []platform.Row{row}, listed)
+		require.Equal(t, []outside.Row{row}, listed)
 		absent, err := table.Get(ctx, "shard/2")
 		require.NoError(t, err)
-		require.Equal(t, platform.Row{Key: "shard/2"}, absent)
+		require.Equal(t, outside.Row{Key: "shard/2"}, absent)
 	})
 }
 
 func TestLostAnswerIsSettledByReadingBackTheChange(t *testing.T) {
-	onTables(t, func(t *testing.T, memory *standin.MemoryTable, table platform.Table) {
+	onTables(t, func(t *testing.T, memory *standin.MemoryTable, table outside.Table) {
 		memory.SetFaults(standin.Faults{LoseAnswers: 1})
 		_, err := table.CompareAndSet(t.Context(), "key", 0, []byte("a"), "change-1")
 		requireFault(t, err, fault.Unavailable, fault.RanUnknown)
@@ -82,7 +82,7 @@
 }
 
 func TestDownTableRefusesAsNotRun(t *testing.T) {
-	onTables(t, func(t *testing.T, memory *standin.MemoryTable, table platform.Table) {
+	onTables(t, func(t *testing.T, memory *standin.MemoryTable, table outside.Table) {
 		memory.SetFaults(standin.Faults{Down: true})
 		_, err := table.CompareAndSet(t.Context(), "key", 0, []byte("a"), "change-1")
 		requireFault(t, err, fault.Unavailable, fault.RanNo)
@@ -91,7 +91,7 @@
 }
 
 func TestRateLimitTellsWhenToComeBack(t *testing.T) {
-	onTables(t, func(t *testing.T, memory *standin.MemoryTable, table platform.Table) {
+	onTables(t, func(t *testing.T, memory *standin.MemoryTable, table outside.Table) {
 		memory.SetFaults(standin.Faults{PerSecond: 0.01, Burst: 1})
 		_, err := table.Get(t.Context(), "key")
 		require.NoError(t, err)
@@ -105,7 +105,7 @@
 func TestHungTableLeavesTheOutcomeUnknown(t *testing.T) {
 	memory := standin.NewMemoryTable()
 	memory.SetFaults(standin.Faults{Hang: true})
-	table := platform.NewHTTPTable(serve(t, standin.TableHandler(memory), 20*time.Millisecond))
+	table := outside.NewHTTPTable(serve(t, standin.TableHandler(memory), 20*time.Millisecond))
 	_, err := table.Get(t.Context(), "key")
 	requireFault(t, err, fault.Unavailable, fault.RanUnknown)
 }
@@ -115,7 +115,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	table := platform.NewHTTPTable(platform.Options{Address: address, Timeout: patience})
+	table := outside.NewHTTPTable(outside.Options{Address: address, Timeout: patience})
 	_, err = table.CompareAndSet(t.Context(), "key", 0, nil, "change-1")
 	requireFault(t, err, fault.Unavailable, fault.RanNo)
 }
@@ -139,8 +139,8 @@
 
 func TestObjectsKeepBytes(t *testing.T) {
 	memory := standin.NewMemoryObjects()
-	overHTTP := platform.NewHTTPObjects(serve(t, standin.ObjectsHandler(memory), patience))
-	for name, objects := range map[string]platform.Objects{"memory": standin.NewMemoryObjects(), "http": overHTTP} {
+	overHTTP := outside.NewHTTPObjects(serve(t, standin.ObjectsHandler(memory), patience))
+	for name, objects := range map[string]outside.Objects{"memory": standin.NewMemoryObjects(), "http": overHTTP} {
 		t.Run(name, func(t *testing.T) {
 			ctx := t.Context()
 			require.NoError(t, objects.Put(ctx, "shard/1 a&b", []byte{0, 255, '"'}))
@@ -165,16 +165,16 @@
 func TestMachineListLagsAndForgets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		machines := standin.NewMemoryMachines(standin.MachinesOptions{Lag: 2 * time.Second, TimeToLive: 5 * time.Second})
-		list := func() []platform.Machine {
-			listed, err := machines.List(t.Context(), platform.KindNode)
+		list := func() []outside.Machine {
+			listed, err := machines.List(t.Context(), outside.KindNode)
 			require.NoError(t, err)
 			return listed
 		}
-		node := platform.Machine{ID: "n1", Kind: platform.KindNode, Zone: "karen"}
+		node := outside.Machine{ID: "n1", Kind: outside.KindNode, Zone: "karen"}
 		require.NoError(t, machines.Register(t.Context(), node))
 		require.Empty(t, list(), "a new machine is seen late")
 		time.Sleep(2 * time.Second)
-		require.Equal(t, []platform.Machine{node}, list())
+		require.Equal(t, []outside.Machine{node}, list())
 		require.NoError(t, machines.SetLeaving("n1", true))
 		require.False(t, list()[0].Leaving)
 		time.Sleep(2 * time.Second)
@@ -190,16 +190,16 @@
 
 func TestMachinesOverHTTPKeepEveryField(t *testing.T) {
 	memory := standin.NewMemoryMachines(standin.MachinesOptions{})
-	machines := platform.NewHTTPMachines(serve(t, standin.MachinesHandler(memory), patience))
-	worker := platform.Machine{
-		ID: "w1", Kind: platform.KindWorker, Address: "127.0.0.1:1", Zone: "karen", Region: "nairobi",
+	machines := outside.NewHTTPMachines(serve(t, standin.MachinesHandler(memory), patience))
+	worker := outside.Machine{
+		ID: "w1", Kind: outside.KindWorker, Address: "127.0.0.1:1", Zone: "karen", Region: "nairobi",
 		Leaving: true, Models: []id.Model{"a", "b"},
 	}
 	require.NoError(t, machines.Register(t.Context(), worker))
-	listed, err := machines.List(t.Context(), platform.KindWorker)
+	listed, err := machines.List(t.Context(), outside.KindWorker)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Machine{worker}, listed)
-	listed, err = machines.List(t.Context(), platform.KindNode)
+	require.Equal(t, []outside.Machine{worker}, listed)
+	listed, err = machines.List(t.Context(), outside.KindNode)
 	require.NoError(t, err)
 	require.Empty(t, listed)
 }
@@ -227,9 +227,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			memory := standin.NewMemoryTools()
 			options := serve(t, standin.ToolsHandler(memory), patience)
-			tools := platform.NewHTTPTools(options)
+			tools := outside.NewHTTPTools(options)
 			memory.SetFaults(test.faults)
-			request := platform.ToolRequest{
+			request := outside.ToolRequest{
 				URL: "http://" + options.Address + standin.ToolsPath, Request: "p-1/1/1",
 				Name: test.tool, Arguments: levy, Deadline: time.Now().Add(test.patience),
 			}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -12,7 +12,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/httpjson"
 	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 )
 
 // FaultsPath is the administrative endpoint of every stand-in: GET shows the
@@ -95,5 +95,5 @@
 }
 
 func requestParameter(r *http.Request) id.Request {
-	return id.Request(r.URL.Query().Get(platform.RequestParameter))
+	return id.Request(r.URL.Query().Get(outside.RequestParameter))
 }
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -10,22 +10,22 @@
 	"sync"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 )
 
 const tableService = "table service"
 
-// MemoryTable is the table service in memory. It implements platform.Table.
+// MemoryTable is the table service in memory. It implements outside.Table.
 type MemoryTable struct {
 	Switch
 	mutex  sync.Mutex
-	rows   map[string]platform.Row
+	rows   map[string]outside.Row
 	writes int
 }
 
 // NewMemoryTable returns an empty table.
 func NewMemoryTable() *MemoryTable {
-	return &MemoryTable{rows: map[string]platform.Row{}}
+	return &MemoryTable{rows: map[string]outside.Row{}}
 }
 
 // Writes returns how many writes took effect.
@@ -35,9 +35,9 @@
 	return t.writes
 }
 
-// Get implements platform.Table.
-func (t *MemoryTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	var found platform.Row
+// Get implements outside.Table.
+func (t *MemoryTable) Get(ctx context.Context, key string) (outside.Row, error) {
+	var found outside.Row
 	err := t.read(ctx, tableService, func() error {
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
@@ -46,43 +46,43 @@
 		return nil
 	})
 	if err != nil {
-		return platform.Row{}, err
+		return outside.Row{}, err
 	}
 	return copyRow(found), nil
 }
 
-// CompareAndSet implements platform.Table.
-func (t *MemoryTable) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, change string) (platform.Row, error) {
+// CompareAndSet implements outside.Table.
+func (t *MemoryTable) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, change string) (outside.Row, error) {
 	value = bytes.Clone(value)
-	var written platform.Row
+	var written outside.Row
 	err := t.write(ctx, tableService, func() error {
 		row, err := t.compareAndSet(key, version, value, change)
 		written = row
 		return err
 	})
 	if err != nil {
-		return platform.Row{}, err
+		return outside.Row{}, err
 	}
 	return copyRow(written), nil
 }
 
-func (t *MemoryTable) compareAndSet(key string, version uint64, value []byte, change string) (platform.Row, error) {
+func (t *MemoryTable) compareAndSet(key string, version uint64, value []byte, change string) (outside.Row, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	present := t.rows[key].Version
 	if present != version {
-		return platform.Row{}, fault.Newf(fault.Conflict, "read the row again and decide anew",
+		return outside.Row{}, fault.Newf(fault.Conflict, "read the row again and decide anew",
 			"row %q is at version %d, not %d", key, present, version)
 	}
-	row := platform.Row{Key: key, Version: version + 1, Value: value, Change: change}
+	row := outside.Row{Key: key, Version: version + 1, Value: value, Change: change}
 	t.rows[key] = row
 	t.writes++
 	return row, nil
 }
 
-// List implements platform.Table; rows are sorted by key.
-func (t *MemoryTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
-	var found []platform.Row
+// List implements outside.Table; rows are sorted by key.
+func (t *MemoryTable) List(ctx context.Context, prefix string) ([]outside.Row, error) {
+	var found []outside.Row
 	err := t.read(ctx, tableService, func() error {
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
@@ -96,11 +96,11 @@
 	if err != nil {
 		return nil, err
 	}
-	slices.SortFunc(found, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(found, func(a, b outside.Row) int { return cmp.Compare(a.Key, b.Key) })
 	return found, nil
 }
 
-func copyRow(row platform.Row) platform.Row {
+func copyRow(row outside.Row) outside.Row {
 	row.Value = bytes.Clone(row.Value)
 	return row
 }
--- a/internal/standin/tools.go
+++ b/internal/standin/tools.go
@@ -10,7 +10,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 )
 
 const toolService = "tool service"
@@ -34,8 +34,8 @@
 }
 
 // MemoryTools is a tool service in memory. It does not recognise repeats, so
-// that its record shows every one of them. It implements platform.Tools and
-// platform.ToolOutcomes.
+// that its record shows every one of them. It implements outside.Tools and
+// outside.ToolOutcomes.
 type MemoryTools struct {
 	Switch
 	mutex  sync.Mutex
@@ -52,8 +52,8 @@
 	return slices.Clone(t.record)
 }
 
-// Invoke implements platform.Tools.
-func (t *MemoryTools) Invoke(ctx context.Context, request platform.ToolRequest) (string, error) {
+// Invoke implements outside.Tools.
+func (t *MemoryTools) Invoke(ctx context.Context, request outside.ToolRequest) (string, error) {
 	var answer string
 	err := t.write(ctx, toolService, func() error {
 		made, err := runTool(request.Name, request.Arguments)
@@ -77,8 +77,8 @@
 	return answer, nil
 }
 
-// Outcome implements platform.ToolOutcomes.
-func (t *MemoryTools) Outcome(ctx context.Context, request platform.ToolRequest) (string, error) {
+// Outcome implements outside.ToolOutcomes.
+func (t *MemoryTools) Outcome(ctx context.Context, request outside.ToolRequest) (string, error) {
 	var answer string
 	err := t.read(ctx, toolService, func() error {
 		for _, execution := range t.Record() {
--- a/internal/worker/bench_test.go
+++ b/internal/worker/bench_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
 	"github.com/cloverwheel/cloverwheel/internal/place"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // benchFleet is a fleet's catalog, and the Cores that a decision may probe: as
@@ -33,9 +33,9 @@
 		fleet.view.Members = append(fleet.view.Members, member.Member{Node: id.Node(name), Address: peer.Address(name), Zone: fmt.Sprint(index % 8)})
 	}
 	fleet.catalog = NewCatalog(CatalogOptions{View: func() *member.View { return fleet.view }})
-	var machines []platform.Machine
+	var machines []outside.Machine
 	for index := range workers {
-		machines = append(machines, platform.Machine{ID: fmt.Sprintf("worker-%d", index), Zone: fmt.Sprint(index % 8), Models: []id.Model{"m"}})
+		machines = append(machines, outside.Machine{ID: fmt.Sprintf("worker-%d", index), Zone: fmt.Sprint(index % 8), Models: []id.Model{"m"}})
 	}
 	fleet.catalog.directory.set(machines)
 	for range min(benchCores, workers) {
--- a/internal/worker/catalog.go
+++ b/internal/worker/catalog.go
@@ -13,15 +13,15 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // CatalogOptions hold what a Catalog needs. Fields with a stated default may be
 // zero.
 type CatalogOptions struct {
 	View     func() *member.View
-	Machines platform.Machines
+	Machines outside.Machines
 	// Transport and Mux join the catalogs of the nodes, so that few of them read
 	// the machine list. If either is nil, this node reads it by itself.
 	Transport peer.Transport
@@ -46,7 +46,7 @@
 
 	mutex   sync.Mutex
 	digest  uint64 // of owned
-	owned   []platform.Machine
+	owned   []outside.Machine
 	serving map[id.Model]*servingModel
 }
 
@@ -59,7 +59,7 @@
 
 // locatedMachine is a worker and when the directory told of it.
 type locatedMachine struct {
-	machine platform.Machine
+	machine outside.Machine
 	read    time.Time
 }
 
@@ -161,7 +161,7 @@
 func (c *Catalog) readList(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, catalogTimeout)
 	defer cancel()
-	machines, err := c.options.Machines.List(limited, platform.KindWorker)
+	machines, err := c.options.Machines.List(limited, outside.KindWorker)
 	if err == nil {
 		c.directory.set(machines)
 		return
@@ -265,7 +265,7 @@
 
 // Owned lists the workers that this node should own, as the directory sees it.
 // The slice must not be changed.
-func (c *Catalog) Owned() []platform.Machine {
+func (c *Catalog) Owned() []outside.Machine {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.owned
@@ -319,7 +319,7 @@
 // locatedFor is how long an answer about one worker counts.
 const locatedFor = 5 * time.Minute
 
-func (c *Catalog) find(ctx context.Context, worker id.Worker) (platform.Machine, bool) {
+func (c *Catalog) find(ctx context.Context, worker id.Worker) (outside.Machine, bool) {
 	known, ok := c.located.get(worker)
 	if ok && time.Since(known.read) < locatedFor {
 		return known.machine, true
@@ -331,7 +331,7 @@
 		// A directory that does not answer takes nothing away.
 		return known.machine, ok && !fault.Is(err, fault.NotFound)
 	}
-	machine := found.(platform.Machine)
+	machine := found.(outside.Machine)
 	c.located.put(worker, locatedMachine{machine, time.Now()})
 	return machine, true
 }
--- a/internal/worker/catalog_test.go
+++ b/internal/worker/catalog_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // ownersOf counts the nodes that each worker's calls are answered by.
@@ -126,9 +126,9 @@
 
 func TestSampleIsBoundedAndLeavingWorkersAreLeftOut(t *testing.T) {
 	var d directory
-	var machines []platform.Machine
+	var machines []outside.Machine
 	for index := range 100 {
-		machines = append(machines, platform.Machine{ID: fmt.Sprintf("w%02d", index), Models: []id.Model{"m"}, Leaving: index%2 == 0, Gone: index%5 == 0})
+		machines = append(machines, outside.Machine{ID: fmt.Sprintf("w%02d", index), Models: []id.Model{"m"}, Leaving: index%2 == 0, Gone: index%5 == 0})
 	}
 	view := &member.View{Members: []member.Member{{Node: "n0"}, {Node: "n1"}}}
 	_, err := d.answer(view, CatalogRequest{})
--- a/internal/worker/directory.go
+++ b/internal/worker/directory.go
@@ -13,13 +13,13 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 )
 
 // Peer methods that the nodes of the directory serve.
 const (
 	MethodCatalog = "worker.catalog" // CatalogRequest → CatalogAnswer
-	MethodLocate  = "worker.locate"  // LocateRequest → platform.Machine
+	MethodLocate  = "worker.locate"  // LocateRequest → outside.Machine
 	MethodTable   = "worker.table"   // TableRequest → Table
 )
 
@@ -40,14 +40,14 @@
 type CatalogAnswer struct {
 	Digest  uint64 // of Owned
 	Changed bool   // Owned is filled in
-	Owned   []platform.Machine
+	Owned   []outside.Machine
 	Serving []ServingSample
 }
 
 // ServingSample is some of the workers that can serve a model, chosen at random.
 type ServingSample struct {
 	Model   id.Model
-	Workers []platform.Machine
+	Workers []outside.Machine
 }
 
 // LocateRequest asks for one worker.
@@ -58,7 +58,7 @@
 type TableRequest struct{}
 
 // Table is the whole list of workers.
-type Table struct{ Machines []platform.Machine }
+type Table struct{ Machines []outside.Machine }
 
 // DirectoryOf returns the nodes that read the machine list: the best ranked
 // usable ones by rendezvous hashing, out of different zones where there are any.
@@ -93,17 +93,17 @@
 type directory struct {
 	mutex    sync.Mutex
 	known    bool
-	machines []platform.Machine // sorted by name
+	machines []outside.Machine // sorted by name
 	byName   map[id.Worker]int
 	byModel  map[id.Model][]int // of those that take new work
 	view     *member.View       // that owned was worked out for
-	owned    map[id.Node][]platform.Machine
+	owned    map[id.Node][]outside.Machine
 }
 
 // set replaces the list.
-func (d *directory) set(machines []platform.Machine) {
+func (d *directory) set(machines []outside.Machine) {
 	machines = slices.Clone(machines)
-	slices.SortFunc(machines, func(a, b platform.Machine) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(machines, func(a, b outside.Machine) int { return cmp.Compare(a.ID, b.ID) })
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.known && digestOf(machines) == digestOf(d.machines) {
@@ -161,7 +161,7 @@
 		return
 	}
 	d.view = view
-	d.owned = map[id.Node][]platform.Machine{}
+	d.owned = map[id.Node][]outside.Machine{}
 	for _, machine := range d.machines {
 		if machine.Gone {
 			continue
@@ -173,25 +173,25 @@
 }
 
 // sample chooses some of a model's workers.
-func (d *directory) sample(model id.Model) []platform.Machine {
+func (d *directory) sample(model id.Model) []outside.Machine {
 	serving := d.byModel[model]
 	count := min(len(serving), servingSample)
-	chosen := make([]platform.Machine, 0, count)
+	chosen := make([]outside.Machine, 0, count)
 	for _, at := range rand.Perm(len(serving))[:count] {
 		chosen = append(chosen, d.machines[serving[at]])
 	}
 	return chosen
 }
 
-func (d *directory) locate(worker id.Worker) (platform.Machine, error) {
+func (d *directory) locate(worker id.Worker) (outside.Machine, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if !d.known {
-		return platform.Machine{}, notYetRead()
+		return outside.Machine{}, notYetRead()
 	}
 	index, ok := d.byName[worker]
 	if !ok {
-		return platform.Machine{}, fault.Newf(fault.NotFound, "place the call elsewhere", "there is no worker %s", worker)
+		return outside.Machine{}, fault.Newf(fault.NotFound, "place the call elsewhere", "there is no worker %s", worker)
 	}
 	return d.machines[index], nil
 }
@@ -206,7 +206,7 @@
 }
 
 // digestOf tells lists of machines apart.
-func digestOf(machines []platform.Machine) uint64 {
+func digestOf(machines []outside.Machine) uint64 {
 	digest := xxhash.New()
 	field := func(text string) {
 		var size [8]byte
@@ -240,7 +240,7 @@
 	return c.directory.answer(c.options.View(), request)
 }
 
-func (c *Catalog) handleLocate(_ context.Context, request LocateRequest) (platform.Machine, error) {
+func (c *Catalog) handleLocate(_ context.Context, request LocateRequest) (outside.Machine, error) {
 	return c.directory.locate(request.Worker)
 }
 
--- a/internal/worker/fixture_test.go
+++ b/internal/worker/fixture_test.go
@@ -13,8 +13,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
@@ -185,7 +185,7 @@
 	t        *testing.T
 	network  *peer.MemoryNetwork
 	engines  map[string]*fakeEngine
-	machines []platform.Machine
+	machines []outside.Machine
 	mutex    sync.Mutex
 	members  []member.Member
 	epochs   map[id.Worker]uint64
@@ -197,7 +197,7 @@
 	views    map[id.Node]*member.View
 	lists    int // readings of the machine list
 	listDown bool
-	dial     func(platform.Machine) engine.Client
+	dial     func(outside.Machine) engine.Client
 	alive    func(context.Context, id.Program) (bool, error)
 }
 
@@ -209,17 +209,17 @@
 }
 
 // List is the platform's machine list.
-func (f *fixture) List(context.Context, platform.MachineKind) ([]platform.Machine, error) {
+func (f *fixture) List(context.Context, outside.MachineKind) ([]outside.Machine, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.lists++
 	if f.listDown {
 		return nil, fault.New(fault.Unavailable, "the machine list is down", "wait for it").WithRan(fault.RanUnknown)
 	}
-	return append([]platform.Machine{}, f.machines...), nil
+	return append([]outside.Machine{}, f.machines...), nil
 }
 
-func (f *fixture) Register(context.Context, platform.Machine) error { return nil }
+func (f *fixture) Register(context.Context, outside.Machine) error { return nil }
 
 // view is the same until the members change.
 func (f *fixture) view(node id.Node) *member.View {
@@ -249,7 +249,7 @@
 	}
 }
 
-func (f *fixture) setMachine(index int, change func(*platform.Machine)) {
+func (f *fixture) setMachine(index int, change func(*outside.Machine)) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	change(&f.machines[index])
@@ -258,7 +258,7 @@
 // newFixture starts nodes over fake engines.
 func newFixture(t *testing.T, nodes, workers, zones int) *fixture {
 	f := prepareFixture(t, nodes, workers, zones)
-	f.dial = func(machine platform.Machine) engine.Client { return f.engines[machine.ID] }
+	f.dial = func(machine outside.Machine) engine.Client { return f.engines[machine.ID] }
 	f.start()
 	return f
 }
@@ -274,7 +274,7 @@
 	for index := range workers {
 		name := fmt.Sprintf("w%d", index)
 		f.engines[name] = newFakeEngine()
-		f.machines = append(f.machines, platform.Machine{ID: name, Kind: platform.KindWorker, Zone: zone(index), Models: []id.Model{"m"}})
+		f.machines = append(f.machines, outside.Machine{ID: name, Kind: outside.KindWorker, Zone: zone(index), Models: []id.Model{"m"}})
 	}
 	for index := range nodes {
 		name := fmt.Sprintf("n%d", index)
--- a/internal/worker/holds_test.go
+++ b/internal/worker/holds_test.go
@@ -13,8 +13,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/standin"
 )
 
@@ -98,8 +98,8 @@
 // TestCallersSeeNoEndBeforeTheCore: a caller that has its outcome may say at once
 // that its program pauses, and the Core must know by then that the call is over.
 func TestCallersSeeNoEndBeforeTheCore(t *testing.T) {
-	service := New(Options{Mux: peer.NewMux(), Dial: func(platform.Machine) engine.Client { return newFakeEngine() }})
-	owned := newOwner(service, "w0", platform.Machine{ID: "w0"})
+	service := New(Options{Mux: peer.NewMux(), Dial: func(outside.Machine) engine.Client { return newFakeEngine() }})
+	owned := newOwner(service, "w0", outside.Machine{ID: "w0"})
 	open := newStream("r1")
 	owned.mutex.Lock()
 	finished := make(chan struct{})
--- a/internal/worker/owner.go
+++ b/internal/worker/owner.go
@@ -11,7 +11,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/engine"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
@@ -27,7 +27,7 @@
 	closed  chan struct{}
 
 	mutex    sync.Mutex
-	machine  platform.Machine
+	machine  outside.Machine
 	core     *Core
 	epoch    uint64 // zero until claimed
 	instance string // of the engine's start, by its last report
@@ -42,7 +42,7 @@
 // are left out: all of them are hints that time limits make good.
 const actionBacklog = 256
 
-func newOwner(service *Service, worker id.Worker, machine platform.Machine) *owner {
+func newOwner(service *Service, worker id.Worker, machine outside.Machine) *owner {
 	policy := service.options.Policy
 	return &owner{
 		service: service,
@@ -136,7 +136,7 @@
 
 // update takes a new entry of the machine list in. It reports false when the
 // worker was given up, so that it must be claimed anew.
-func (o *owner) update(machine platform.Machine) bool {
+func (o *owner) update(machine outside.Machine) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if o.retiring {
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -15,8 +15,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 // Epochs hands out the fenced epochs of worker ownership.
@@ -31,7 +31,7 @@
 	View    func() *member.View
 	Catalog *Catalog
 	Epochs  Epochs
-	Dial    func(platform.Machine) engine.Client
+	Dial    func(outside.Machine) engine.Client
 	Mux     *peer.Mux
 	Policy  Policy // zero: DefaultPolicy
 	// Alive asks whether a program still lives; nil: holds are renewed by pause
@@ -135,7 +135,7 @@
 // others.
 func (s *Service) reconcile() {
 	view := s.options.View()
-	wanted := map[id.Worker]platform.Machine{}
+	wanted := map[id.Worker]outside.Machine{}
 	for _, machine := range s.options.Catalog.Owned() {
 		worker := id.Worker(machine.ID)
 		holder, ok := OwnerOf(view, worker, machine.Zone, machine.Region)
@@ -163,7 +163,7 @@
 }
 
 // take starts to own a worker. The caller holds the mutex.
-func (s *Service) take(worker id.Worker, machine platform.Machine) {
+func (s *Service) take(worker id.Worker, machine outside.Machine) {
 	owned := newOwner(s, worker, machine)
 	s.owners[worker] = owned
 	s.group.Go(func() error {
--- a/internal/worker/service_test.go
+++ b/internal/worker/service_test.go
@@ -13,8 +13,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 )
 
 func TestCallRunsThroughItsOwner(t *testing.T) {
@@ -55,7 +55,7 @@
 		if location.Worker == "w1" {
 			leaving = 1
 		}
-		f.setMachine(leaving, func(m *platform.Machine) { m.Leaving = true })
+		f.setMachine(leaving, func(m *outside.Machine) { m.Leaving = true })
 		time.Sleep(2 * time.Second)
 		for index := range 20 {
 			other, _, err := f.call("n1", id.Program(fmt.Sprintf("q-%d", index)), 1, 1)
--- a/internal/worker/standin_test.go
+++ b/internal/worker/standin_test.go
@@ -15,8 +15,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/member"
+	"github.com/cloverwheel/cloverwheel/internal/outside"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
-	"github.com/cloverwheel/cloverwheel/internal/platform"
 	"github.com/cloverwheel/cloverwheel/internal/standin"
 )
 
@@ -77,7 +77,7 @@
 }
 
 func (f *fixture) dialStandins(engines map[string]*standin.Engine) {
-	f.dial = func(machine platform.Machine) engine.Client { return engines[machine.ID] }
+	f.dial = func(machine outside.Machine) engine.Client { return engines[machine.ID] }
 }
 
 func TestProgramsRunOnceAndLeaveNothingHeld(t *testing.T) {
@@ -138,7 +138,7 @@
 		if first.Worker == "w1" {
 			index = 1
 		}
-		f.setMachine(index, func(m *platform.Machine) { m.Leaving = true })
+		f.setMachine(index, func(m *outside.Machine) { m.Leaving = true })
 		settle()
 		history = append(history, message("and now?"))
 		second := call(2)
