--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -7,6 +7,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/tenant"
 )
 
 // Freshness tells how old this node's knowledge of the configuration may be.
@@ -40,16 +41,20 @@
 	}
 	holder := configuration.Tenants.ByKey(x.request.Key)
 	if holder == nil {
-		return unknownKey(configuration)
+		return unknownKey(configuration, x.request.Key)
 	}
 	if x.tenant != nil && x.tenant.Name != holder.Name {
-		return unknownKey(configuration) // the key went to another tenant meanwhile
+		return unknownKey(configuration, x.request.Key) // the key went to another tenant meanwhile
 	}
 	x.tenant = holder
 	return nil
 }
 
-func unknownKey(configuration *route.Configuration) *fault.Error {
+func unknownKey(configuration *route.Configuration, key tenant.Key) *fault.Error {
+	if former, ok := configuration.Tenants.Former(key); ok {
+		return fault.Newf(fault.Unauthorized, "ask the operator for another key",
+			"this key of tenant %q was taken away in version %d", former.Tenant, former.Version)
+	}
 	return fault.Newf(fault.Unauthorized, "send the key of a tenant", "no tenant of version %d holds this key", configuration.Version)
 }
 
--- a/internal/forward/identity_test.go
+++ b/internal/forward/identity_test.go
@@ -81,6 +81,16 @@
 	require.Empty(t, f.sent()[1].tenant)
 }
 
+func TestKeyThatWasTakenAwayIsToldSo(t *testing.T) {
+	f := newFixture(t)
+	f.keyed(1, []string{"stalls"}, safeRoute)
+	before := f.forwarder.Configuration().Tenants
+	f.keyed(4, []string{"cellars"}, safeRoute)
+	f.forwarder.Configuration().Tenants.Follow(before, 4)
+	got := f.serve(t.Context(), withKey("stalls"))
+	require.ErrorContains(t, got.refusal, `this key of tenant "stalls" was taken away in version 4`)
+}
+
 func TestMissingRouteComesBeforeAMissingKey(t *testing.T) {
 	f := newFixture(t)
 	f.keyed(1, []string{"stalls"}, safeRoute)
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -171,8 +171,8 @@
 }
 
 func (i *inquiry) run(ctx context.Context) error {
-	running, silent := 0, 0
-	wait := time.Duration(0)
+	running := 0
+	var outcome refused
 	next := func() {
 		if i.asked < shares {
 			share := (i.first + i.asked) % shares
@@ -199,24 +199,40 @@
 				i.borrower.noteHome(i.ask, answer.share)
 				return nil
 			case !answer.reached:
-				silent++
-			case wait == 0 || answer.Wait < wait:
-				wait = answer.Wait
+				outcome.silent++
+			default:
+				outcome.add(answer.Answer)
 			}
 			next()
 		}
 	}
-	return i.refusal(silent, wait)
+	return i.refusal(outcome)
+}
+
+// refused is what owners said who lent nothing.
+type refused struct {
+	silent     int // owners that said nothing
+	wait       time.Duration
+	used, most int // of all shares whose owners answered
+}
+
+func (r *refused) add(answer Answer) {
+	if r.wait == 0 || answer.Wait < r.wait {
+		r.wait = answer.Wait
+	}
+	r.used += answer.Used
+	r.most += answer.Most
 }
 
 // refusal is why nothing was lent.
-func (i *inquiry) refusal(silent int, wait time.Duration) error {
-	if silent == shares {
+func (i *inquiry) refusal(outcome refused) error {
+	if outcome.silent == shares {
 		return fault.Newf(fault.Unavailable, "come back after the time given",
 			"no node that lends of tenant %q's limit answers", i.ask.Tenant).WithRetryAfter(silentRetryAfter + rand.N(silentRetryAfter/2))
 	}
 	return fault.Newf(fault.RateLimited, "come back after the time given, or ask the operator for a higher limit",
-		"tenant %q has sent as much as its limit allows (%d of %d lenders did not answer)", i.ask.Tenant, silent, shares).WithRetryAfter(wait)
+		"tenant %q has sent as much as its limit allows: %d requests in the last window, of %d that %d of %d lenders may lend",
+		i.ask.Tenant, outcome.used, outcome.most, shares-outcome.silent, shares).WithRetryAfter(outcome.wait)
 }
 
 // askShare asks the owner of a share.
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -40,6 +40,8 @@
 	Lent     bool
 	UnderWay bool          // the program was known to the owner
 	Wait     time.Duration // if nothing was lent: until something may be
+	Used     int           // requests that were lent of the share in the last window
+	Most     int           // that may be, by the owner's lease
 	Proof    freshness.Proof
 }
 
@@ -136,6 +138,7 @@
 		most = min(most, allowed.ordinary)
 	}
 	l.adjust(account, slot, request.Tenant, lease, allowed, now)
+	answer.Used, answer.Most = account.window.total, int(most)
 	answer.UnderWay = request.UnderWay || account.programs.underWay(request.Program, now)
 	switch begins := request.Program != "" && !answer.UnderWay; {
 	case float64(account.window.total+1) > most:
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/apex/log"
 
+	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 )
 
@@ -16,6 +17,7 @@
 			s.options.Logger.WithError(err).Error("configuration not understood, keeping the one in force")
 			continue
 		}
+		removed, added := s.followKeys(configuration)
 		taken := s.forwarder.SetConfiguration(configuration)
 		s.knowledge.noteRow(row, configuration)
 		s.options.Logger.WithFields(log.Fields{
@@ -24,8 +26,24 @@
 			"tenants":  configuration.Tenants.Len(),
 			"revision": uint64(row.Version),
 			"taken":    taken,
+
+			"keys_removed": removed,
+			"keys_added":   added,
 		}).Info("configuration")
+		if doubled := configuration.Tenants.Doubled(); doubled > 0 {
+			s.options.Logger.WithField("version", int64(configuration.Version)).WithField("keys", doubled).
+				Error("keys held by several tenants let nobody in; give each tenant its own")
+		}
+	}
+}
+
+// followKeys notes which keys a configuration takes away from those of the one in force.
+func (s *Server) followKeys(next *route.Configuration) (removed, added int) {
+	present := s.forwarder.Configuration()
+	if present == nil || next.Version <= present.Version {
+		return 0, 0
 	}
+	return next.Tenants.Follow(present.Tenants, int64(next.Version))
 }
 
 // replaceWorkers takes over the whole list: who is not on it is gone.
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -61,8 +61,18 @@
 	byKey   map[Key]int32 // index of the tenant
 	byName  map[string]int32
 	doubled int
+	former  map[Key]Former // keys that earlier configurations held
 }
 
+// Former is what is known of a key that was taken away.
+type Former struct {
+	Tenant  string
+	Version int64 // of the first configuration without it
+}
+
+// maxFormer bounds the keys that were taken away and are remembered, for messages only.
+const maxFormer = 10_000
+
 // Entry is a tenant with its keys.
 type Entry struct {
 	Tenant
@@ -96,8 +106,49 @@
 	return registry
 }
 
+// Follow notes which keys of an earlier registry this one, of a version, does not hold. It
+// returns their number, and that of the keys that are new. It must be called before the
+// registry is used.
+func (r *Registry) Follow(earlier *Registry, version int64) (removed, added int) {
+	if r == nil || earlier == nil {
+		return 0, 0
+	}
+	r.former = make(map[Key]Former, len(earlier.former))
+	for key, known := range earlier.former {
+		if _, held := r.byKey[key]; !held {
+			r.former[key] = known
+		}
+	}
+	for key, index := range earlier.byKey {
+		if _, held := r.byKey[key]; held {
+			continue
+		}
+		removed++
+		if index >= 0 && len(r.former) < maxFormer {
+			r.former[key] = Former{Tenant: earlier.tenants[index].Name, Version: version}
+		}
+	}
+	for key := range r.byKey {
+		if _, held := earlier.byKey[key]; !held {
+			added++
+		}
+	}
+	return removed, added
+}
+
+// Former returns whose a key was, and since which version it is nobody's.
+func (r *Registry) Former(key Key) (Former, bool) {
+	known, ok := r.former[key]
+	return known, ok
+}
+
 // Doubled is the number of keys that several tenants hold.
-func (r *Registry) Doubled() int { return r.doubled }
+func (r *Registry) Doubled() int {
+	if r == nil {
+		return 0
+	}
+	return r.doubled
+}
 
 // ByKey returns the tenant that holds a key; nil if none does.
 func (r *Registry) ByKey(key Key) *Tenant {
--- a/internal/tenant/tenant_test.go
+++ b/internal/tenant/tenant_test.go
@@ -36,6 +36,31 @@
 	require.Equal(t, 1, registry.Doubled())
 }
 
+func TestFormerKeysAreRemembered(t *testing.T) {
+	entry := func(name string, keys ...string) Entry {
+		e := Entry{Tenant: Tenant{Name: name}}
+		for _, key := range keys {
+			e.Keys = append(e.Keys, KeyOf(key))
+		}
+		return e
+	}
+	first := NewRegistry([]Entry{entry("stalls", "a", "b")})
+	second := NewRegistry([]Entry{entry("stalls", "b", "c")})
+	removed, added := second.Follow(first, 2)
+	require.Equal(t, []int{1, 1}, []int{removed, added})
+	third := NewRegistry([]Entry{entry("stalls", "c")})
+	third.Follow(second, 5)
+	for key, version := range map[string]int64{"a": 2, "b": 5} {
+		former, ok := third.Former(KeyOf(key))
+		require.True(t, ok)
+		require.Equal(t, Former{Tenant: "stalls", Version: version}, former)
+	}
+	fourth := NewRegistry([]Entry{entry("stalls", "a", "c")})
+	fourth.Follow(third, 6)
+	_, ok := fourth.Former(KeyOf("a"))
+	require.False(t, ok, "it is held again")
+}
+
 func TestEmptyKeyInAListOpensNothing(t *testing.T) {
 	registry := NewRegistry([]Entry{{Tenant: Tenant{Name: "one"}, Keys: []Key{KeyOf("")}}})
 	require.Nil(t, registry.ByKey(Key{}))
