--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -50,6 +50,29 @@
 	Lender *Lender // of this process
 	// Learn is told of proofs in answers, and when their question was sent.
 	Learn func(proof freshness.Proof, sent time.Time)
+	// Count is told what came of each question.
+	Count func(Outcome)
+}
+
+// Outcome is what came of a question to the owner of a share.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeLent   Outcome = "lent"
+	OutcomeEmpty  Outcome = "empty"  // nothing may be lent now
+	OutcomeSilent Outcome = "silent" // nobody answered who may lend
+)
+
+func (a shareAnswer) outcome() Outcome {
+	switch {
+	case a.Lent:
+		return OutcomeLent
+	case a.reached:
+		return OutcomeEmpty
+	default:
+		return OutcomeSilent
+	}
 }
 
 // Borrower gets what requests need of their tenants' limits. It implements forward.Limits.
@@ -193,6 +216,7 @@
 			patience.Reset(askPatience)
 		case answer := <-i.answers:
 			running--
+			i.borrower.options.Count(answer.outcome())
 			i.underWay = i.underWay || answer.UnderWay
 			switch {
 			case answer.Lent:
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -128,7 +128,7 @@
 		Proof: func() freshness.Proof { return freshness.Proof{} },
 	})
 	n.borrower = NewBorrower(BorrowerOptions{
-		Self: n.self, Owners: n.programs, Peers: peers, Lender: n.lender, Learn: func(freshness.Proof, time.Time) {},
+		Self: n.self, Owners: n.programs, Peers: peers, Lender: n.lender, Learn: func(freshness.Proof, time.Time) {}, Count: func(Outcome) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -390,6 +390,34 @@
 	})
 }
 
+// TestSuccessorsLendOnlyWhatIsLeft: owners that could not note in the table that they lend
+// more have lent the ordinary part, and their successors lend the rest.
+func TestSuccessorsLendOnlyWhatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limit := tenant.Limit{PerSecond: 100, Burst: 100}
+		w := newTestWorld(6, limit)
+		time.Sleep(14 * time.Second)
+		w.table.SetFault(func(string, bool) storetest.Fault { return storetest.Refused })
+		burst := func() {
+			for request := range int(bound(limit)) {
+				_ = w.send(addressOf(request%6), "hot", "p")
+			}
+		}
+		burst()
+		require.LessOrEqual(t, float64(len(w.admitted["hot"])), ordinaryPart*600+1)
+		w.table.SetFault(nil)
+		for index := range 6 {
+			w.kill(addressOf(index))
+			w.start(addressOf(index))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		burst()
+		require.LessOrEqual(t, float64(mostInAWindow(w.admitted["hot"], testTolerance.Window)), bound(limit))
+		require.Greater(t, len(w.admitted["hot"]), 500, "what is left is lent")
+		w.stop()
+	})
+}
+
 // soleOwner is the address of a node that owns just one share of a tenant's limit.
 func (w *world) soleOwner(t *testing.T, name string) string {
 	owned := map[string]int{}
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -48,7 +48,7 @@
 		LimitOf: knowledge.limitOf, Proof: knowledge.fresh.Proof,
 	})
 	limits := quota.NewBorrower(quota.BorrowerOptions{
-		Self: self, Owners: programs, Peers: others, Lender: lender, Learn: knowledge.learn,
+		Self: self, Owners: programs, Peers: others, Lender: lender, Learn: knowledge.learn, Count: options.Metrics.LimitAnswer,
 	})
 	peers.handleKnowledge(options.Process, lender, knowledge)
 	return core{
--- a/internal/server/knowledge.go
+++ b/internal/server/knowledge.go
@@ -60,6 +60,7 @@
 	if s.peers.address != "" {
 		k.transport = s.peers.transport
 	}
+	k.options.Metrics.WatchProof(func() float64 { return k.fresh.Proof().Age.Seconds() })
 }
 
 // noteRow notes a configuration that is in force, or older than that.
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/cloverwheel/cloverwheel/internal/forward"
+	"github.com/cloverwheel/cloverwheel/internal/quota"
 )
 
 // Metrics are a node's counters and histograms.
@@ -17,6 +18,8 @@
 	Looks    prometheus.Counter // whether a worker takes connections
 	Relayed  prometheus.Counter // calls to the table that other nodes were asked for
 
+	limitAnswers *prometheus.CounterVec // by outcome
+
 	tableCalls *prometheus.CounterVec // by call and table
 	tableBytes *prometheus.CounterVec // by what connections carry, and direction
 }
@@ -38,11 +41,25 @@
 	}
 	m.tableCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_calls_total", Help: "Calls to the table by what they do and to which table."}, []string{"call", "table"})
 	m.tableBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_bytes_total", Help: "Bytes on connections to the table by what these carry: feeds is control, calls is work."}, []string{"carries", "direction"})
+	m.limitAnswers = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "limit_answers_total", Help: "Questions to owners of shares of tenants' limits by what came of them."}, []string{"outcome"})
+	registry.MustRegister(m.limitAnswers)
 	m.Relayed = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
 	registry.MustRegister(m.Dials, m.Looks, m.Relayed, m.tableCalls, m.tableBytes)
 	return m
 }
 
+// LimitAnswer counts a question to an owner of a share of a limit.
+func (m *Metrics) LimitAnswer(outcome quota.Outcome) {
+	m.limitAnswers.WithLabelValues(string(outcome)).Inc()
+}
+
+// WatchProof tells the age of the proof that the configuration is the newest.
+func (m *Metrics) WatchProof(age func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "cloverwheel", Name: "proof_age_seconds", Help: "How long ago the configuration in force was proven to be the newest; 0 without a proof.",
+	}, age))
+}
+
 // TableCall counts a call to the table.
 func (m *Metrics) TableCall(call, table string) { m.tableCalls.WithLabelValues(call, table).Inc() }
 
