A request's tenant is set once

The check compares now. A configuration that drops all tenants while a request waits is no nil dereference.

--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -23,31 +23,34 @@
 // before the table answers.
 const staleRetryAfter = 900 * time.Millisecond
 
-// identify finds whose request it is, and whether its key is valid.
-func (x *exchange) identify() *fault.Error {
+// identify finds whose request it is, and whether its key is valid. The request stays that
+// tenant's: others read it at the same time.
+func (x *exchange) identify() (refusal *fault.Error) {
+	x.tenant, refusal = x.holder()
+	return refusal
+}
+
+// holder is the tenant that holds the request's key now; nil if nobody needs one.
+func (x *exchange) holder() (*tenant.Tenant, *fault.Error) {
 	age, fresh := time.Duration(0), true
 	if x.options.Freshness != nil {
 		age, fresh = x.options.Freshness.Age() // before the configuration, which may only be newer
 	}
 	configuration := x.Configuration()
 	if configuration.Tenants == nil || x.route.Open {
-		return nil
+		return nil, nil
 	}
 	x.proofAge = age
 	if !fresh {
-		return fault.Newf(fault.StaleConfiguration, "come back after the time given",
+		return nil, fault.Newf(fault.StaleConfiguration, "come back after the time given",
 			"this node cannot tell whether the key is still valid: version %d was last known to be the newest %d ms ago",
 			configuration.Version, age.Milliseconds()).WithRetryAfter(staleRetryAfter + rand.N(staleRetryAfter/2))
 	}
 	holder := configuration.Tenants.ByKey(x.request.Key)
 	if holder == nil {
-		return unknownKey(configuration, x.request.Key)
+		return nil, unknownKey(configuration, x.request.Key)
 	}
-	if x.tenant != nil && x.tenant.Name != holder.Name {
-		return unknownKey(configuration, x.request.Key) // the key went to another tenant meanwhile
-	}
-	x.tenant = holder
-	return nil
+	return holder, nil
 }
 
 func unknownKey(configuration *route.Configuration, key tenant.Key) *fault.Error {
@@ -64,7 +67,10 @@
 	if x.tenant == nil {
 		return nil
 	}
-	refusal := x.identify()
+	holder, refusal := x.holder()
+	if refusal == nil && (holder == nil || holder.Name != x.tenant.Name) {
+		refusal = unknownKey(x.Configuration(), x.request.Key) // the key is another's now, or nobody needs one
+	}
 	if refusal != nil && x.touched {
 		return refusal.WithRan(fault.RanUnknown)
 	}
--- a/internal/forward/identity_test.go
+++ b/internal/forward/identity_test.go
@@ -116,9 +116,12 @@
 // while a request waits or after a worker has failed ends the request.
 func TestKeyIsCheckedBeforeEverySend(t *testing.T) {
 	for name, happen := range map[string]func(*fixture, *fakeFreshness){
-		"the key is taken away":        func(f *fixture, _ *fakeFreshness) { f.keyed(2, []string{"cellars"}, safeRoute) },
-		"the key goes to another":      func(f *fixture, _ *fakeFreshness) { f.rekeyed(2, "cellars", "stalls") },
-		"the proof grows old":          func(_ *fixture, fresh *fakeFreshness) { fresh.stale = true },
+		"the key is taken away":   func(f *fixture, _ *fakeFreshness) { f.keyed(2, []string{"cellars"}, safeRoute) },
+		"the key goes to another": func(f *fixture, _ *fakeFreshness) { f.rekeyed(2, "cellars", "stalls") },
+		"the proof grows old":     func(_ *fixture, fresh *fakeFreshness) { fresh.stale = true },
+		"nobody needs a key": func(f *fixture, _ *fakeFreshness) {
+			f.forwarder.SetConfiguration(route.New(2, []route.Route{safeRoute}, nil, route.Limits{}))
+		},
 		"the tenants lose all keys":    func(f *fixture, _ *fakeFreshness) { f.keyed(2, nil, safeRoute) },
 		"both, the key and its tenant": func(f *fixture, fresh *fakeFreshness) { f.keyed(2, nil, safeRoute); fresh.stale = true },
 	} {
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -138,6 +138,9 @@
 
 // Former returns whose a key was, and since which version it is nobody's.
 func (r *Registry) Former(key Key) (Former, bool) {
+	if r == nil {
+		return Former{}, false
+	}
 	known, ok := r.former[key]
 	return known, ok
 }
