--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -129,10 +129,8 @@
 	if !answer.Able {
 		return answer
 	}
-	account := l.account(account{request.Tenant, request.Share}, lease, now)
-	account.window.advance(stepOf(l.origin, now, l.tolerance.Window))
-	l.pace.learn(l.accounts, now)
 	allowed := allowancesOf(limit, l.tolerance)
+	account := l.account(account{request.Tenant, request.Share}, lease, now)
 	most := allowed.lendable(lease, request.Tenant, now, l.tolerance.Window)
 	if account.lowered {
 		most = min(most, allowed.ordinary)
@@ -140,22 +138,43 @@
 	l.adjust(account, slot, request.Tenant, lease, allowed, now)
 	answer.Used, answer.Most = account.window.total, int(most)
 	answer.UnderWay = request.UnderWay || account.programs.underWay(request.Program, now)
-	switch begins := request.Program != "" && !answer.UnderWay; {
+	begins := request.Program != "" && !answer.UnderWay
+	switch {
 	case float64(account.window.total+1) > most:
-		answer.Wait = account.promises.add(now, func(queue int) time.Duration { return l.waitFor(account, most, queue) })
+		answer.Wait = l.waitForRequest(account, most, now)
 	case begins && !l.hasRoom(account, allowed, now):
-		answer.Wait = account.beginnings.add(now, func(queue int) time.Duration {
-			return time.Duration(queue+1) * l.tolerance.Window / time.Duration(account.programs.active(now)+1)
-		})
+		answer.Wait = l.waitForProgram(account, now)
 	default:
-		account.window.add(1)
-		account.programs.note(request.Program, now)
-		l.pace.lent(request.Program)
 		answer.Lent = true
+		l.lend(account, request.Program, now)
 	}
 	return answer
 }
 
+// lend counts a request. The caller holds the mutex.
+func (l *Lender) lend(account *lent, program string, now time.Time) {
+	account.window.add(1)
+	account.programs.note(program, now)
+	l.pace.lent(program)
+}
+
+// waitForRequest is how long it takes until one more request may be lent of a share that may
+// lend so many in a window, after those that were told before to come back.
+func (l *Lender) waitForRequest(account *lent, most float64, now time.Time) time.Duration {
+	return account.promises.add(now, func(queue int) time.Duration {
+		surplus := account.window.total + 1 - int(most) + queue
+		return time.Duration(account.window.untilFree(surplus)) * l.tolerance.Window / steps
+	})
+}
+
+// waitForProgram is how long it takes until one more program may begin: about one of those
+// that are active ends in each of as many parts of a window.
+func (l *Lender) waitForProgram(account *lent, now time.Time) time.Duration {
+	return account.beginnings.add(now, func(queue int) time.Duration {
+		return time.Duration(queue+1) * l.tolerance.Window / time.Duration(account.programs.active(now)+1)
+	})
+}
+
 // hasRoom reports whether one more program can begin without those under way being cut off:
 // whether what a share will have lent in the window that ends after programAhead, if each
 // program goes on at its usual pace, stays within the share.
@@ -166,15 +185,8 @@
 	return float64(kept)+coming <= roomSlack*allowed.whole
 }
 
-// waitFor is how long it takes until one more request may be lent of a share that may lend
-// so many in a window, after those that were told before to come back.
-func (l *Lender) waitFor(account *lent, most float64, queue int) time.Duration {
-	surplus := account.window.total + 1 - int(most) + queue
-	return time.Duration(account.window.untilFree(surplus)) * l.tolerance.Window / steps
-}
-
-// account returns what was lent of a share under a lease. What was lent under an earlier
-// lease is among what that lease's successor assumes.
+// account returns what was lent of a share under a lease, as of now. What was lent under an
+// earlier lease is among what its successor assumes.
 func (l *Lender) account(name account, lease directory.Lease, now time.Time) *lent {
 	l.sweep(now)
 	known, ok := l.accounts[name]
@@ -183,6 +195,8 @@
 		l.accounts[name] = known
 	}
 	known.used = now
+	known.window.advance(stepOf(l.origin, now, l.tolerance.Window))
+	l.pace.learn(l.accounts, now)
 	return known
 }
 
@@ -205,7 +219,7 @@
 	if account.writing || now.Sub(account.written) < writePause {
 		return
 	}
-	raised, total := contains(lease.Raised, tenant), float64(account.window.total)
+	raised, total := slices.Contains(lease.Raised, tenant), float64(account.window.total)
 	switch {
 	case total >= raiseAt*allowed.ordinary && (!raised || account.lowered):
 		l.write(account, now, func(ctx context.Context) (lowered bool) { return !l.leases.Raise(ctx, slot, tenant) })
@@ -231,5 +245,3 @@
 		account.writing, account.lowered = false, lowered
 	}()
 }
-
-func contains(names []string, name string) bool { return slices.Contains(names, name) }
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,7 +68,7 @@
 // While what earlier owners lent may still count, that is taken off.
 func (a allowances) lendable(lease directory.Lease, tenant string, now time.Time, window time.Duration) float64 {
 	most := a.ordinary
-	if contains(lease.Raised, tenant) {
+	if slices.Contains(lease.Raised, tenant) {
 		most = a.whole
 	}
 	if now.Sub(lease.Since) >= window {
