Many nodes do not keep each other from proofs

Not the workers' rows: 1,001 workers before 101 nodes were served. Change: nodes without a slot ask owners first and the table late, with pauses that grow to 4 s; owners pause up to 0.6 s; after a refusal all wait 1.5 s for an answer. Failures are logged when they begin and end.

--- a/internal/server/knowledge.go
+++ b/internal/server/knowledge.go
@@ -27,8 +27,20 @@
 	// proveTimeout bounds a question to the table, askProofWait one to another node.
 	proveTimeout = 400 * time.Millisecond
 	askProofWait = 100 * time.Millisecond
-	// urgentPart of the bound is the age at which the table is asked besides other nodes.
-	urgentPart = 0.5
+	// crowdedTimeout bounds it for crowdedFor after the table has refused one because too
+	// many were waiting: it answers after up to a second then, and who does not wait for
+	// that has asked in vain, again and again.
+	crowdedTimeout = 1500 * time.Millisecond
+	crowdedFor     = 5 * time.Second
+	// urgentPart of the bound is the age at which a node that owns no slot asks the table
+	// itself, and strangerWait the least time without any proof: owners ask first, and
+	// the table takes some 200 such questions a second.
+	urgentPart   = 0.7
+	strangerWait = 1500 * time.Millisecond
+	// The pauses after questions to the table that failed: owners come back sooner.
+	firstAskPause        = 150 * time.Millisecond
+	longestOwnerPause    = 600 * time.Millisecond
+	longestStrangerPause = 4 * time.Second
 	// leaseRenewal is how old the proof of a slot's ownership gets before it is renewed.
 	leaseRenewal = 1500 * time.Millisecond
 )
@@ -45,6 +57,12 @@
 	programs  *directory.Directory
 	transport peer.Transport // nil: no other node is asked
 
+	// Used by run alone:
+	needSince time.Time     // since when proofs are needed; zero: they are not
+	crowded   time.Time     // when the table last refused a question
+	askAgain  time.Time     // before which the table is not asked
+	pause     time.Duration // after the last question that failed; 0: it was answered
+
 	mutex  sync.Mutex
 	row    store.Row // the configuration in force, as the table has it
 	leases time.Time // when the ownership of all slots was last proven
@@ -108,34 +126,42 @@
 func (k *knowledge) run(ctx context.Context) {
 	for wait.For(ctx, proveTick/2+rand.N(proveTick)) == nil {
 		if !k.needed() {
+			k.needSince = time.Time{}
 			continue
 		}
+		if k.needSince.IsZero() {
+			k.needSince = time.Now().Add(rand.N(strangerWait)) // not all at once
+		}
 		k.renew(ctx)
 	}
 }
 
 // renew seeks younger proofs where they are due.
 func (k *knowledge) renew(ctx context.Context) {
-	age, _ := k.fresh.Age()
-	unproven := k.fresh.Proof().Revision == 0
-	due := k.fresh.Bound() > 0 && (unproven || age > time.Duration(provePart*float64(k.fresh.Bound())))
-	claims := k.claims()
-	if len(claims) > 0 && (due || k.leasesDue()) {
-		k.askTable(ctx, claims)
-		k.programs.Settle(ctx)
-		return
-	}
-	if !due {
+	due := k.olderThan(provePart)
+	if claims := k.claims(); len(claims) > 0 {
+		if due || k.leasesDue() {
+			k.askTable(ctx, claims, longestOwnerPause)
+			k.programs.Settle(ctx)
+		}
 		return
 	}
-	if k.askNode(ctx) {
+	if !due || k.askNode(ctx) {
 		return
 	}
-	if unproven || age > time.Duration(urgentPart*float64(k.fresh.Bound())) {
-		k.askTable(ctx, nil)
+	if k.olderThan(urgentPart) && time.Since(k.needSince) > strangerWait {
+		k.askTable(ctx, nil, longestStrangerPause)
 	}
 }
 
+// olderThan reports whether the proof that keys are let in by is older than a part of the
+// bound, or missing.
+func (k *knowledge) olderThan(part float64) bool {
+	bound := k.fresh.Bound()
+	proof := k.fresh.Proof()
+	return bound > 0 && (proof.Revision == 0 || proof.Age > time.Duration(part*float64(bound)))
+}
+
 func (k *knowledge) claims() []store.Condition {
 	if k.programs == nil {
 		return nil
@@ -151,14 +177,18 @@
 
 // askTable asks the table whether the configuration is the newest and this process owns
 // its slots: by a transaction that changes nothing and holds only if all is as believed.
-// (A call that waits for changes proves nothing by its silence.)
-func (k *knowledge) askTable(ctx context.Context, claims []store.Condition) {
+// (A call that waits for changes proves nothing by its silence.) After a failure it pauses,
+// for longest at most.
+func (k *knowledge) askTable(ctx context.Context, claims []store.Condition, longest time.Duration) {
+	if time.Now().Before(k.askAgain) {
+		return
+	}
 	row := k.configurationRow()
 	conditions := append([]store.Condition{{Key: row.Key, Version: row.Version}}, claims...)
-	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
+	limited, cancel := context.WithTimeout(ctx, k.patience())
 	defer cancel()
 	sent := time.Now()
-	_, err := k.table.Commit(ctx, store.Transaction{Conditions: conditions})
+	_, err := k.table.Commit(limited, store.Transaction{Conditions: conditions})
 	var conflict *store.Conflict
 	switch {
 	case err == nil:
@@ -169,10 +199,38 @@
 		if k.programs != nil {
 			k.programs.Disproven(claims, conflict, sent)
 		}
-	case ctx.Err() == nil:
-		k.options.Logger.WithError(err).WithField("proof_ms", k.proofAge()).Warn("configuration not proven to be the newest, trying again")
-		_ = wait.For(ctx, proveTick)
 	}
+	if ctx.Err() == nil {
+		k.noteAnswer(err, longest)
+	}
+}
+
+// patience is how long the table is waited for.
+func (k *knowledge) patience() time.Duration {
+	if time.Since(k.crowded) < crowdedFor {
+		return crowdedTimeout
+	}
+	return proveTimeout
+}
+
+// noteAnswer notes whether the table has answered, and logs when that changes.
+func (k *knowledge) noteAnswer(err error, longest time.Duration) {
+	entry := k.options.Logger.WithField("proof_ms", k.proofAge())
+	if store.Answered(err) {
+		if k.pause > 0 {
+			entry.Info("configuration proven to be the newest again")
+		}
+		k.pause = 0
+		return
+	}
+	if errors.Is(err, store.ErrNotDone) {
+		k.crowded = time.Now()
+	}
+	if k.pause == 0 {
+		entry.WithError(err).Warn("configuration not proven to be the newest, trying again")
+	}
+	k.pause = min(max(2*k.pause, firstAskPause), longest)
+	k.askAgain = time.Now().Add(k.pause/2 + rand.N(k.pause))
 }
 
 func (k *knowledge) proofAge() int64 {
