Slow nodes change no owners of slots

Change: an owner is suspected for 3 s, and is then asked once more, with a second to answer, before its slot is taken. The test of three slow nodes of eight fails before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -45,6 +45,9 @@
 	Spent   int           // size of the turn that the table has just refused to it; 0: none
 	// Returned says that the asker has just given tokens back to the table.
 	Returned bool
+	// Probe only asks whether the process owns Slot; nothing is noted.
+	Probe bool
+	Slot  int
 }
 
 // Answer is what the owner knows.
@@ -193,6 +196,9 @@
 
 // Answer answers another node.
 func (d *Directory) Answer(request Request) Answer {
+	if request.Probe {
+		return Answer{Owner: request.Process == d.options.Self.Process && d.owns(request.Slot)}
+	}
 	if request.Process != d.options.Self.Process || !d.owns(slotOf(request.Program)) {
 		return Answer{}
 	}
@@ -200,6 +206,9 @@
 }
 
 func (d *Directory) owns(slot int) bool {
+	if slot < 0 || slot >= slots {
+		return false
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.owners[slot].Process == d.options.Self.Process
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -27,11 +27,15 @@
 	nodes   map[string]*Directory // by address
 	cancels map[string]context.CancelFunc
 	cut     map[string]bool // nodes that neither ask nor answer
+	slow    map[string]bool // nodes whose messages take slowMessage
 	starts  int
 }
 
+// slowMessage is longer than an owner is waited for.
+const slowMessage = 5 * locateWait
+
 func newCluster(nodes int) *cluster {
-	c := &cluster{table: storetest.New(), nodes: map[string]*Directory{}, cancels: map[string]context.CancelFunc{}, cut: map[string]bool{}}
+	c := &cluster{table: storetest.New(), nodes: map[string]*Directory{}, cancels: map[string]context.CancelFunc{}, cut: map[string]bool{}, slow: map[string]bool{}}
 	for index := range nodes {
 		c.start(address(index))
 	}
@@ -97,11 +101,19 @@
 }
 
 // Locate implements Peers.
-func (p clusterPeers) Locate(_ context.Context, address string, request Request) (Answer, error) {
+func (p clusterPeers) Locate(ctx context.Context, address string, request Request) (Answer, error) {
 	p.cluster.mutex.Lock()
 	d, ok := p.cluster.nodes[address]
 	apart := p.cluster.cut[address] || p.cluster.cut[p.from]
+	slow := p.cluster.slow[address] || p.cluster.slow[p.from]
 	p.cluster.mutex.Unlock()
+	if slow {
+		select {
+		case <-time.After(slowMessage):
+		case <-ctx.Done():
+			return Answer{}, ctx.Err()
+		}
+	}
 	if !ok || apart {
 		return Answer{}, errDown
 	}
@@ -147,6 +159,28 @@
 	})
 }
 
+// TestSlowNodesChangeNoOwners: a slow owner keeps its slots, and a slow node that misses all
+// answers takes none over.
+func TestSlowNodesChangeNoOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(8)
+		defer c.stop()
+		time.Sleep(8 * time.Second)
+		before, _ := c.owners()
+		c.mutex.Lock()
+		for index := range 3 {
+			c.slow[address(index)] = true
+		}
+		c.mutex.Unlock()
+		for program := range 4000 { // in 20 s
+			c.node(program%8).Locate(t.Context(), programOf(program))
+			time.Sleep(5 * time.Millisecond)
+		}
+		after, _ := c.owners()
+		require.Equal(t, before, after)
+	})
+}
+
 // TestTableInTroubleIsLeftAlone: nodes that cannot read the slots do not press on.
 func TestTableInTroubleIsLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/directory/slots.go
+++ b/internal/directory/slots.go
@@ -39,8 +39,12 @@
 	askAgainAfter = 500 * time.Millisecond
 	// confirmAfter is for how long an owner must have been silent before its slot is
 	// taken over, and confirmAsked how often it must have been asked.
-	confirmAfter = time.Second
+	confirmAfter = 3 * time.Second
 	confirmAsked = 2
+	// probeWait is how long it is asked once more, then. A slow node misses answers that come
+	// within it, and others miss those of a slow owner; a slot that changes hands lends
+	// nothing for longer than either costs.
+	probeWait = time.Second
 	// heardWithin is how lately some owner must have answered: a node that nobody
 	// answers is itself cut off, and takes nothing over.
 	heardWithin = 2 * time.Second
@@ -220,12 +224,33 @@
 		return false
 	}
 	slot := claimable[rand.IntN(len(claimable))]
+	if d.ownerLives(ctx, slot) {
+		return true
+	}
 	if _, err := d.put(ctx, slot, d.successor(slot), "directory slot taken"); err != nil && ctx.Err() == nil {
 		d.options.Logger.WithError(err).WithField("slot", slot).Warn("directory slot not taken, trying again")
 	}
 	return true
 }
 
+// ownerLives reports whether another process still owns a slot, by its own word.
+func (d *Directory) ownerLives(ctx context.Context, slot int) bool {
+	d.mutex.Lock()
+	known := d.owners[slot]
+	d.mutex.Unlock()
+	if known.Process == "" || known.Address == d.options.Self.Address {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, probeWait)
+	defer cancel()
+	answer, err := d.options.Peers.Locate(limited, known.Address, Request{Process: known.Process, Probe: true, Slot: slot})
+	if err != nil || !answer.Owner {
+		return ctx.Err() != nil
+	}
+	d.noteHeard(slot)
+	return true
+}
+
 // successor is the row of a slot that this process takes over.
 func (d *Directory) successor(slot int) row {
 	next := d.vacancy(slot)
