A slow table is asked again without giving up the question before; owners without a proof ask other nodes

Questions have 1.5 s now and up to four overlap, further apart the more are unanswered; a silent table that comes back still answers the next one.

--- a/internal/server/knowledge.go
+++ b/internal/server/knowledge.go
@@ -24,17 +24,20 @@
 	provePart = 0.33
 	// proveTick is how often a node looks whether it needs a proof.
 	proveTick = 100 * time.Millisecond
-	// proveTimeout bounds a question to the table, askProofWait one to another node.
-	proveTimeout = 400 * time.Millisecond
+	// askSpacing is the pause between two questions to the table, longer by as much for each
+	// that is unanswered, and maxAsking how many are under way: a table that is silent loses
+	// all that wait for it, and one that is slow answers late; both are learnt soon this way.
+	askSpacing = 400 * time.Millisecond
+	maxAsking  = 4
+	// proveTimeout bounds each: a crowded table answers after a second.
+	proveTimeout = 1500 * time.Millisecond
+	// askProofWait bounds a question to another node.
 	askProofWait = 100 * time.Millisecond
-	// crowdedTimeout bounds it for crowdedFor after the table has refused one because too
-	// many were waiting: it answers after up to a second then, and who does not wait for
-	// that has asked in vain, again and again.
-	crowdedTimeout = 1500 * time.Millisecond
-	crowdedFor     = 5 * time.Second
-	// urgentPart of the bound is the age at which a node that owns no slot asks the table
-	// itself, and strangerWait the least time without any proof: owners ask first, and
-	// the table takes some 200 such questions a second.
+	// askNodePause is the least pause between two such questions.
+	askNodePause = 300 * time.Millisecond
+	// urgentPart of the bound is the age at which an owner asks other nodes, too, and a node
+	// that owns no slot the table; strangerWait is the least time without any proof
+	// before that: owners ask first, and the table takes some 200 such questions a second.
 	urgentPart   = 0.7
 	strangerWait = 1500 * time.Millisecond
 	// The pauses after questions to the table that failed: owners come back sooner.
@@ -58,14 +61,21 @@
 	transport peer.Transport // nil: no other node is asked
 
 	// Used by run alone:
-	needSince time.Time     // since when proofs are needed; zero: they are not
-	crowded   time.Time     // when the table last refused a question
-	askAgain  time.Time     // before which the table is not asked
-	pause     time.Duration // after the last question that failed; 0: it was answered
+	needSince time.Time // since when proofs are needed; zero: they are not
+	nodeAsked time.Time // when another node was last asked
 
 	mutex  sync.Mutex
 	row    store.Row // the configuration in force, as the table has it
 	leases time.Time // when the ownership of all slots was last proven
+	asking asking
+}
+
+// asking is what is known of questions to the table.
+type asking struct {
+	underWay int
+	last     time.Time     // when the newest was sent
+	again    time.Time     // before which none is sent
+	pause    time.Duration // after the last one that failed; 0: it was answered
 }
 
 func newKnowledge(options Options) *knowledge {
@@ -142,7 +152,9 @@
 	if claims := k.claims(); len(claims) > 0 {
 		if due || k.leasesDue() {
 			k.askTable(ctx, claims, longestOwnerPause)
-			k.programs.Settle(ctx)
+		}
+		if k.olderThan(urgentPart) {
+			k.askNode(ctx)
 		}
 		return
 	}
@@ -175,20 +187,45 @@
 	return time.Since(k.leases) > leaseRenewal
 }
 
-// askTable asks the table whether the configuration is the newest and this process owns
-// its slots: by a transaction that changes nothing and holds only if all is as believed.
-// (A call that waits for changes proves nothing by its silence.) After a failure it pauses,
-// for longest at most.
+// askTable asks the table, without waiting for its answer, unless it has just been asked.
+// After a failure it is not asked for a while, for longest at most.
 func (k *knowledge) askTable(ctx context.Context, claims []store.Condition, longest time.Duration) {
-	if time.Now().Before(k.askAgain) {
+	if !k.mayAsk() {
 		return
 	}
+	go func() {
+		err := k.question(ctx, claims)
+		k.noteAnswer(ctx, err, longest)
+		if err == nil && len(claims) > 0 {
+			k.programs.Settle(ctx)
+		}
+	}()
+}
+
+// mayAsk reports whether the table may be asked now, and notes that it is.
+func (k *knowledge) mayAsk() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := time.Now()
+	spacing := time.Duration(1+k.asking.underWay) * askSpacing
+	if k.asking.underWay >= maxAsking || now.Before(k.asking.again) || now.Sub(k.asking.last) < spacing {
+		return false
+	}
+	k.asking.underWay++
+	k.asking.last = now
+	return true
+}
+
+// question asks whether the configuration is the newest and this process owns its slots: by
+// a transaction that changes nothing and holds only if all is as believed. (A call that
+// waits for changes proves nothing by its silence.)
+func (k *knowledge) question(ctx context.Context, claims []store.Condition) error {
 	row := k.configurationRow()
 	conditions := append([]store.Condition{{Key: row.Key, Version: row.Version}}, claims...)
-	limited, cancel := context.WithTimeout(ctx, k.patience())
+	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
 	defer cancel()
 	sent := time.Now()
-	_, err := k.table.Commit(limited, store.Transaction{Conditions: conditions})
+	_, err := k.table.Commit(ctx, store.Transaction{Conditions: conditions})
 	var conflict *store.Conflict
 	switch {
 	case err == nil:
@@ -200,37 +237,30 @@
 			k.programs.Disproven(claims, conflict, sent)
 		}
 	}
-	if ctx.Err() == nil {
-		k.noteAnswer(err, longest)
-	}
-}
-
-// patience is how long the table is waited for.
-func (k *knowledge) patience() time.Duration {
-	if time.Since(k.crowded) < crowdedFor {
-		return crowdedTimeout
-	}
-	return proveTimeout
+	return err
 }
 
 // noteAnswer notes whether the table has answered, and logs when that changes.
-func (k *knowledge) noteAnswer(err error, longest time.Duration) {
-	entry := k.options.Logger.WithField("proof_ms", k.proofAge())
-	if store.Answered(err) {
-		if k.pause > 0 {
+func (k *knowledge) noteAnswer(ctx context.Context, err error, longest time.Duration) {
+	age := k.proofAge()
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.asking.underWay--
+	entry := k.options.Logger.WithField("proof_ms", age)
+	switch {
+	case store.Answered(err):
+		if k.asking.pause > 0 {
 			entry.Info("configuration proven to be the newest again")
 		}
-		k.pause = 0
-		return
-	}
-	if errors.Is(err, store.ErrNotDone) {
-		k.crowded = time.Now()
-	}
-	if k.pause == 0 {
-		entry.WithError(err).Warn("configuration not proven to be the newest, trying again")
+		k.asking.pause, k.asking.again = 0, time.Time{}
+	case ctx.Err() != nil:
+	default:
+		if k.asking.pause == 0 {
+			entry.WithError(err).Warn("configuration not proven to be the newest, trying again")
+		}
+		k.asking.pause = min(max(2*k.asking.pause, firstAskPause), longest)
+		k.asking.again = time.Now().Add(k.asking.pause/2 + rand.N(k.asking.pause))
 	}
-	k.pause = min(max(2*k.pause, firstAskPause), longest)
-	k.askAgain = time.Now().Add(k.pause/2 + rand.N(k.pause))
 }
 
 func (k *knowledge) proofAge() int64 {
@@ -245,7 +275,9 @@
 	k.programs.Proven(claims, sent)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.leases = sent
+	if sent.After(k.leases) {
+		k.leases = sent
+	}
 }
 
 // takeRow takes over the configuration's row as it was when a question was answered that
@@ -293,9 +325,10 @@
 		return false
 	}
 	owners := k.programs.Owners()
-	if len(owners) == 0 {
+	if len(owners) == 0 || time.Since(k.nodeAsked) < askNodePause {
 		return false
 	}
+	k.nodeAsked = time.Now()
 	before, _ := k.fresh.Age()
 	had := k.fresh.Proof().Revision != 0
 	answer, sent, err := k.askProof(ctx, owners[rand.IntN(len(owners))])
