--- a/internal/server/knowledge.go
+++ b/internal/server/knowledge.go
@@ -31,6 +31,9 @@
 	maxAsking  = 4
 	// proveTimeout bounds each: a crowded table answers after a second.
 	proveTimeout = 1500 * time.Millisecond
+	// readFor is for how long questions are reads after one that failed. A transaction that
+	// changes nothing is smaller than the rows, but waits its turn among the writes of its part.
+	readFor = 5 * time.Second
 	// askProofWait bounds a question to another node.
 	askProofWait = 100 * time.Millisecond
 	// askNodePause is the least pause between two such questions.
@@ -76,6 +79,7 @@
 	last     time.Time     // when the newest was sent
 	again    time.Time     // before which none is sent
 	pause    time.Duration // after the last one that failed; 0: it was answered
+	reads    time.Time     // until when questions are reads
 }
 
 func newKnowledge(options Options) *knowledge {
@@ -220,6 +224,9 @@
 // a transaction that changes nothing and holds only if all is as believed. (A call that
 // waits for changes proves nothing by its silence.)
 func (k *knowledge) question(ctx context.Context, claims []store.Condition) error {
+	if k.mustRead() {
+		return k.read(ctx, claims)
+	}
 	row := k.configurationRow()
 	conditions := append([]store.Condition{{Key: row.Key, Version: row.Version}}, claims...)
 	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
@@ -240,6 +247,39 @@
 	return err
 }
 
+func (k *knowledge) mustRead() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return time.Now().Before(k.asking.reads)
+}
+
+// read asks the same by reading the rows.
+func (k *knowledge) read(ctx context.Context, claims []store.Condition) error {
+	known := k.configurationRow()
+	if known.Version == 0 {
+		return nil // the follower reads it first
+	}
+	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
+	defer cancel()
+	sent := time.Now()
+	page, err := k.table.Range(ctx, known.Table, known.Part, known.Name, known.Name+"\x00", 1)
+	if err != nil {
+		return err
+	}
+	if len(page.Rows) > 0 {
+		k.takeRow(page.Rows[0], sent)
+	}
+	if len(claims) == 0 {
+		return nil
+	}
+	sent = time.Now()
+	if page, err = k.table.Range(ctx, claims[0].Table, claims[0].Part, "", "", 0); err != nil {
+		return err
+	}
+	k.programs.Disproven(claims, &store.Conflict{Rows: page.Rows}, sent)
+	return nil
+}
+
 // noteAnswer notes whether the table has answered, and logs when that changes.
 func (k *knowledge) noteAnswer(ctx context.Context, err error, longest time.Duration) {
 	age := k.proofAge()
@@ -258,6 +298,7 @@
 		if k.asking.pause == 0 {
 			entry.WithError(err).Warn("configuration not proven to be the newest, trying again")
 		}
+		k.asking.reads = time.Now().Add(readFor)
 		k.asking.pause = min(max(2*k.asking.pause, firstAskPause), longest)
 		k.asking.again = time.Now().Add(k.asking.pause/2 + rand.N(k.asking.pause))
 	}
