--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
@@ -79,38 +78,3 @@
 
 // previous is the name under which the turn is kept that this one goes on from.
 func (x *exchange) previous() string { return x.tenant.Scope(x.request.Continue) }
-
-// Limits lends what tenants may ask for.
-type Limits interface {
-	// Admit takes one request from what a tenant may still send. Its error is a
-	// *fault.Error: RateLimited when the limit is reached, Unavailable when nobody tells.
-	Admit(ctx context.Context, ask LimitRequest) error
-	// Return gives back what an admitted request did not use.
-	Return(tenant string)
-}
-
-// LimitRequest asks for one request of a tenant.
-type LimitRequest struct {
-	Tenant  string
-	Program string // that the request belongs to; empty: none
-}
-
-// admit counts the request against its tenant's limit.
-func (x *exchange) admit(ctx context.Context) error {
-	if x.options.Limits == nil || x.tenant == nil || x.tenant.Limit.Unlimited() {
-		return nil
-	}
-	if err := x.options.Limits.Admit(ctx, LimitRequest{Tenant: x.tenant.Name, Program: x.request.Program}); err != nil {
-		return err
-	}
-	x.admitted = true
-	return nil
-}
-
-// releaseUnused gives back what the request took of its tenant's limit, if no worker
-// can have run it.
-func (x *exchange) releaseUnused() {
-	if x.admitted && !x.touched {
-		x.options.Limits.Return(x.tenant.Name)
-	}
-}
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -56,17 +56,6 @@
 	return nil
 }
 
-// admitTurn counts the turn against its tenant's limit, once nothing else stands in the way
-// of its being sent: what is taken and not used is lost to the tenant's other requests.
-func (x *exchange) admitTurn(ctx context.Context) *fault.Error {
-	waiting, cancel := context.WithTimeout(ctx, shareOfLeft(ctx, tableWaitShare, longestTableWait))
-	defer cancel()
-	if err := x.admit(waiting); err != nil {
-		return x.notPrepared(ctx, err)
-	}
-	return nil
-}
-
 // homeAfter is where the program's context lies after the turn.
 func (x *exchange) homeAfter() string {
 	if x.events == 0 {
