An answer about leases counts however it came

While the table is asked by reads, or when its answer is a conflict, the moment of the answer was not noted, so the same question went out again after 0.4 s in place of 1.5 s. One function takes in both kinds of answer now. Also an unused parameter less. TestSlowTableLetsKeysIn and TestManyNodesLetKeysIn as before.

--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -50,7 +50,7 @@
 	limits := quota.NewBorrower(quota.BorrowerOptions{
 		Self: self, Owners: programs, Peers: others, Lender: lender, Learn: knowledge.learn, Count: options.Metrics.LimitAnswer,
 	})
-	peers.handleKnowledge(options.Process, lender, knowledge)
+	peers.handleKnowledge(lender, knowledge)
 	return core{
 		budgets: budgets, history: keeper, programs: programs, neighbours: others,
 		table: table, limits: limits,
--- a/internal/server/knowledge.go
+++ b/internal/server/knowledge.go
@@ -172,11 +172,17 @@
 	return age.Milliseconds()
 }
 
-func (k *knowledge) proveClaims(claims []store.Condition, sent time.Time) {
+// proveClaims notes the table's answer to a question about this process's slots, sent at a
+// moment: that all claims hold, or the rows as they are where conflict is not nil.
+func (k *knowledge) proveClaims(claims []store.Condition, conflict *store.Conflict, sent time.Time) {
 	if len(claims) == 0 {
 		return
 	}
-	k.programs.Proven(claims, sent)
+	if conflict == nil {
+		k.programs.Proven(claims, sent)
+	} else {
+		k.programs.Disproven(claims, conflict, sent)
+	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if sent.After(k.leases) {
@@ -257,7 +263,7 @@
 }
 
 // handleKnowledge sets what other nodes are answered about proofs and limits.
-func (p *peers) handleKnowledge(process string, lender *quota.Lender, knowledge *knowledge) {
+func (p *peers) handleKnowledge(lender *quota.Lender, knowledge *knowledge) {
 	peer.Handle(p.mux, methodLend, func(_ context.Context, request quota.Request) (quota.Answer, error) {
 		return lender.Answer(request), nil
 	})
--- a/internal/server/question.go
+++ b/internal/server/question.go
@@ -83,12 +83,10 @@
 	switch {
 	case err == nil:
 		k.fresh.Prove(row.Version, sent)
-		k.proveClaims(claims, sent)
+		k.proveClaims(claims, nil, sent)
 	case errors.As(err, &conflict):
 		k.takeRow(conflict.Find(row.Key), sent)
-		if k.programs != nil {
-			k.programs.Disproven(claims, conflict, sent)
-		}
+		k.proveClaims(claims, conflict, sent)
 	}
 	return err
 }
@@ -122,7 +120,7 @@
 	if page, err = k.table.Range(ctx, claims[0].Table, claims[0].Part, "", "", 0); err != nil {
 		return err
 	}
-	k.programs.Disproven(claims, &store.Conflict{Rows: page.Rows}, sent)
+	k.proveClaims(claims, &store.Conflict{Rows: page.Rows}, sent)
 	return nil
 }
 
