--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,9 +3,9 @@
 // of their name; each slot is owned by one process, which remembers who asked for
 // the slot's programs. The table says which process owns which slot.
 //
-// What a directory says is a hint. A wrong or missing one costs a call to the table
-// and breaks no promise, so entries are in memory only and a slot changes
-// hands without a lease.
+// What a directory says of programs is a hint. A wrong or missing one costs a call to the
+// table and breaks no promise, so entries are in memory only. What an owner lends out of
+// tenants' limits is no hint: for that, owners have leases (see Lease).
 package directory
 
 import (
@@ -172,7 +172,7 @@
 // ask tells the owner of a program's slot of a turn.
 func (d *Directory) ask(ctx context.Context, request Request) budget.Located {
 	slot := slotOf(request.Program)
-	asked, ok := d.ownerToAsk(slot)
+	asked, ok := d.Owner(slot)
 	if !ok {
 		return budget.Located{}
 	}
@@ -187,21 +187,25 @@
 		return budget.Located{}
 	}
 	if err != nil || !answer.Owner {
-		d.suspect(slot, asked)
+		d.Missed(slot, asked)
 		return budget.Located{}
 	}
-	d.noteHeard(slot)
+	d.Heard(slot)
 	return answer.Located
 }
 
 // Answer answers another node.
 func (d *Directory) Answer(request Request) Answer {
-	if request.Probe {
-		return Answer{Owner: request.Process == d.options.Self.Process && d.owns(request.Slot)}
+	slot := request.Slot
+	if !request.Probe {
+		slot = slotOf(request.Program)
 	}
-	if request.Process != d.options.Self.Process || !d.owns(slotOf(request.Program)) {
+	if request.Process != d.options.Self.Process || !d.owns(slot) {
 		return Answer{}
 	}
+	if request.Probe {
+		return Answer{Owner: true}
+	}
 	return Answer{Owner: true, Located: d.record(request)}
 }
 
@@ -214,17 +218,17 @@
 	return d.owners[slot].Process == d.options.Self.Process
 }
 
-// ownerToAsk is the owner of a slot, unless there is none or it has just not
-// answered.
-func (d *Directory) ownerToAsk(slot int) (owner, bool) {
+// Owner is the process that owns a slot, as far as this node knows, unless there is none
+// or it has just not answered.
+func (d *Directory) Owner(slot int) (budget.Holder, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	known := d.owners[slot]
 	if known.Process == "" {
-		return owner{}, false
+		return budget.Holder{}, false
 	}
 	suspected, ok := d.suspicions[slot]
-	return known, !ok || suspected.process != known.Process || time.Since(suspected.last) >= askAgainAfter
+	return known.Holder, !ok || suspected.process != known.Process || time.Since(suspected.last) >= askAgainAfter
 }
 
 // record notes a turn of a program, and returns what was known of the program before.
--- a/internal/directory/lease.go
+++ b/internal/directory/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"time"
 
@@ -67,13 +66,6 @@
 	}, true
 }
 
-// Owner is the process that owns a slot, as far as this node knows, unless it has just
-// not answered.
-func (d *Directory) Owner(slot int) (budget.Holder, bool) {
-	known, ok := d.ownerToAsk(slot)
-	return known.Holder, ok
-}
-
 // Owners lists processes that own slots, without this one and each once.
 func (d *Directory) Owners() []budget.Holder {
 	d.mutex.Lock()
@@ -87,13 +79,6 @@
 	return owners
 }
 
-// Heard notes that the owner of a slot has answered; Missed that it has not, or that the
-// process asked does not own the slot.
-func (d *Directory) Heard(slot int) { d.noteHeard(slot) }
-
-// Missed is told of an owner that did not answer as one.
-func (d *Directory) Missed(slot int, asked budget.Holder) { d.suspect(slot, owner{Holder: asked}) }
-
 // Claims are the conditions that hold while this process owns its slots.
 func (d *Directory) Claims() []store.Condition {
 	d.mutex.Lock()
@@ -240,7 +225,3 @@
 	}
 	return written
 }
-
-func keyOf(slot int) store.Key {
-	return store.Key{Table: Table, Part: slotsPart, Name: fmt.Sprintf("%02d", slot)}
-}
--- a/internal/directory/lease_test.go
+++ b/internal/directory/lease_test.go
@@ -38,6 +38,14 @@
 	return 0
 }
 
+// ownerOfSlot is a calm cluster of three, its first node, and a slot that this owns.
+func ownerOfSlot(t *testing.T) (c *cluster, d *Directory, slot int) {
+	c = newCluster(3)
+	time.Sleep(8 * time.Second)
+	d = c.node(0)
+	return c, d, ownedSlot(t, d)
+}
+
 func valid(d *Directory, slot int) bool {
 	lease, ok := d.Lease(slot)
 	return ok && lease.Valid(time.Now())
@@ -45,11 +53,8 @@
 
 func TestLeaseEndsUnlessItIsProvenAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(3)
+		c, d, slot := ownerOfSlot(t)
 		defer c.stop()
-		time.Sleep(8 * time.Second)
-		d := c.node(0)
-		slot := ownedSlot(t, d)
 		c.prove(d)
 		require.True(t, valid(d, slot))
 		time.Sleep(leaseTime - time.Millisecond)
@@ -64,11 +69,8 @@
 // TestProofCountsFromItsQuestion: an answer that comes late lets an owner lend no longer.
 func TestProofCountsFromItsQuestion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(3)
+		c, d, slot := ownerOfSlot(t)
 		defer c.stop()
-		time.Sleep(8 * time.Second)
-		d := c.node(0)
-		slot := ownedSlot(t, d)
 		claims, sent := d.Claims(), time.Now()
 		time.Sleep(leaseTime)
 		d.Proven(claims, sent)
@@ -170,11 +172,8 @@
 // TestNodeThatLeavesLendsNothing, whether or not the table hears that it leaves.
 func TestNodeThatLeavesLendsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(3)
+		c, d, slot := ownerOfSlot(t)
 		defer c.stop()
-		time.Sleep(8 * time.Second)
-		d := c.node(0)
-		slot := ownedSlot(t, d)
 		c.prove(d)
 		require.True(t, valid(d, slot))
 		c.table.SetFault(func(string, bool) storetest.Fault { return storetest.Refused })
@@ -185,11 +184,8 @@
 
 func TestSuccessorKnowsWhatWasRaisedAndWhetherItWasSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(3)
+		c, d, slot := ownerOfSlot(t)
 		defer c.stop()
-		time.Sleep(8 * time.Second)
-		d := c.node(0)
-		slot := ownedSlot(t, d)
 		require.True(t, d.Raise(t.Context(), slot, "stalls"))
 		require.True(t, d.Raise(t.Context(), slot, "cellars"))
 		d.Lower(t.Context(), slot, "stalls")
@@ -218,11 +214,8 @@
 // to a successor.
 func TestRaiseIsNotShownBeforeTheTableHasIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(3)
+		c, d, slot := ownerOfSlot(t)
 		defer c.stop()
-		time.Sleep(8 * time.Second)
-		d := c.node(0)
-		slot := ownedSlot(t, d)
 		c.table.SetFault(func(string, bool) storetest.Fault { return storetest.Broken })
 		require.False(t, d.Raise(t.Context(), slot, "stalls"))
 		lease, _ := d.Lease(slot)
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -21,13 +21,15 @@
 	Program string // that the request belongs to; empty: none
 }
 
-// admit counts the request against its tenant's limit.
-func (x *exchange) admit(ctx context.Context) error {
+// admit counts the request against its tenant's limit. It does so once nothing else stands
+// in the way of its being sent: what is taken and not used is lost to the tenant's other
+// requests.
+func (x *exchange) admit(ctx context.Context) *fault.Error {
 	if x.options.Limits == nil || x.tenant == nil || x.tenant.Limit.Unlimited() {
 		return nil
 	}
 	if err := x.options.Limits.Admit(ctx, LimitRequest{Tenant: x.tenant.Name, Program: x.request.Program}); err != nil {
-		return err
+		return x.notPrepared(ctx, err)
 	}
 	x.admitted = true
 	return nil
@@ -40,14 +42,3 @@
 		x.options.Limits.Return(x.tenant.Name)
 	}
 }
-
-// admitTurn counts the turn against its tenant's limit, once nothing else stands in the way
-// of its being sent: what is taken and not used is lost to the tenant's other requests.
-func (x *exchange) admitTurn(ctx context.Context) *fault.Error {
-	waiting, cancel := context.WithTimeout(ctx, shareOfLeft(ctx, tableWaitShare, longestTableWait))
-	defer cancel()
-	if err := x.admit(waiting); err != nil {
-		return x.notPrepared(ctx, err)
-	}
-	return nil
-}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -26,8 +26,8 @@
 func (x *exchange) plain(ctx context.Context) *fault.Error {
 	x.service = x.route.Service(x.route.Draw())
 	x.body = x.request.Body
-	if err := x.admit(ctx); err != nil {
-		return x.notPrepared(ctx, err)
+	if refusal := x.admit(ctx); refusal != nil {
+		return refusal
 	}
 	for x.sends < maxSends {
 		worker, refusal := x.choose(ctx)
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -38,7 +38,7 @@
 	}
 	x.service = x.serviceOfTurn()
 	perEvent := configuration.Services[x.service].TokensPerEvent
-	refusal = x.admitTurn(ctx)
+	refusal = x.admit(ctx)
 	if refusal == nil {
 		refusal = x.stream(ctx, perEvent)
 	}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -18,7 +18,7 @@
 // Proof says that a revision of the configuration was the newest some time ago.
 type Proof struct {
 	Revision store.Version // of the configuration's row; 0: none is known
-	Age      time.Duration // may be older in truth by nothing, younger by anything
+	Age      time.Duration // at most; in truth it may be less
 }
 
 // Keeper keeps the youngest proof for the configuration in force.
@@ -96,10 +96,3 @@
 	}
 	return Proof{Revision: k.revision, Age: time.Since(k.proven)}
 }
-
-// Revision is the one in force; 0 if none is.
-func (k *Keeper) Revision() store.Version {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.revision
-}
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -139,11 +140,7 @@
 	now := time.Now()
 	if now.Sub(b.swept) > underWayFor {
 		b.swept = now
-		for name, known := range b.homes {
-			if now.Sub(known.used) > underWayFor {
-				delete(b.homes, name)
-			}
-		}
+		maps.DeleteFunc(b.homes, func(_ string, known home) bool { return now.Sub(known.used) > underWayFor })
 	}
 	if share == usualShare(ask.Program) {
 		delete(b.homes, homeName(ask))
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -63,13 +64,13 @@
 	proof   func() freshness.Proof
 
 	mutex    sync.Mutex
-	accounts map[account]*lent
+	accounts map[shareName]*lent
 	pace     pace
 	swept    time.Time
 }
 
-// account names a share of a tenant's limit.
-type account struct {
+// shareName names a share of a tenant's limit.
+type shareName struct {
 	tenant string
 	share  int
 }
@@ -106,7 +107,7 @@
 		limitOf:   options.LimitOf,
 		proof:     options.Proof,
 		origin:    now,
-		accounts:  map[account]*lent{},
+		accounts:  map[shareName]*lent{},
 		pace:      newPace(now),
 		swept:     now,
 	}
@@ -130,7 +131,7 @@
 		return answer
 	}
 	allowed := allowancesOf(limit, l.tolerance)
-	account := l.account(account{request.Tenant, request.Share}, lease, now)
+	account := l.account(shareName{request.Tenant, request.Share}, lease, now)
 	most := allowed.lendable(lease, request.Tenant, now, l.tolerance.Window)
 	if account.lowered {
 		most = min(most, allowed.ordinary)
@@ -187,7 +188,7 @@
 
 // account returns what was lent of a share under a lease, as of now. What was lent under an
 // earlier lease is among what its successor assumes.
-func (l *Lender) account(name account, lease directory.Lease, now time.Time) *lent {
+func (l *Lender) account(name shareName, lease directory.Lease, now time.Time) *lent {
 	l.sweep(now)
 	known, ok := l.accounts[name]
 	if !ok || known.lease != lease.Number {
@@ -206,11 +207,7 @@
 		return
 	}
 	l.swept = now
-	for name, known := range l.accounts {
-		if now.Sub(known.used) > 2*l.tolerance.Window {
-			delete(l.accounts, name)
-		}
-	}
+	maps.DeleteFunc(l.accounts, func(_ shareName, known *lent) bool { return now.Sub(known.used) > 2*l.tolerance.Window })
 }
 
 // adjust has the table note that more than the ordinary part may be lent, before that is
--- a/internal/quota/programs.go
+++ b/internal/quota/programs.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// activeFor is how long after its last request a program counts as one that will
@@ -50,11 +53,7 @@
 
 // forget drops programs that have ended.
 func (p programs) forget(now time.Time) {
-	for program, last := range p {
-		if now.Sub(last) >= underWayFor {
-			delete(p, program)
-		}
-	}
+	maps.DeleteFunc(p, func(_ string, last time.Time) bool { return now.Sub(last) >= underWayFor })
 }
 
 // pace estimates how many requests a program sends in a second.
@@ -75,7 +74,7 @@
 
 // learn takes over what the last moment showed, once in a while, and forgets programs that
 // have ended.
-func (p *pace) learn(accounts map[account]*lent, now time.Time) {
+func (p *pace) learn(accounts map[shareName]*lent, now time.Time) {
 	passed := now.Sub(p.learnt)
 	if passed < paceEvery {
 		return
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -86,7 +86,7 @@
 
 // Commit implements Store.
 func (g *Gate) Commit(ctx context.Context, transaction Transaction) (Version, error) {
-	part := transaction.part()
+	part := transaction.First().Part
 	if err := g.enter(ctx, part); err != nil {
 		return 0, err
 	}
@@ -99,17 +99,6 @@
 	return version, err
 }
 
-// part is the part that all of a transaction's rows share.
-func (t Transaction) part() string {
-	switch {
-	case len(t.Put) > 0:
-		return t.Put[0].Part
-	case len(t.Remove) > 0:
-		return t.Remove[0].Part
-	}
-	return ""
-}
-
 // Range implements Store.
 func (g *Gate) Range(ctx context.Context, table, part, from, to string, limit int) (Page, error) {
 	if err := g.enter(ctx, part); err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -42,6 +42,19 @@
 	Remove     []Key
 }
 
+// First is the key of the transaction's first row; all its rows share the part.
+func (t Transaction) First() Key {
+	switch {
+	case len(t.Put) > 0:
+		return t.Put[0].Key
+	case len(t.Remove) > 0:
+		return t.Remove[0]
+	case len(t.Conditions) > 0:
+		return t.Conditions[0].Key
+	}
+	return Key{}
+}
+
 // Page is the answer to a read.
 type Page struct {
 	Rows    []Row
--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -79,11 +79,7 @@
 
 // Commit implements store.Store.
 func (t *Table) Commit(ctx context.Context, transaction store.Transaction) (store.Version, error) {
-	part := ""
-	if len(transaction.Put) > 0 {
-		part = transaction.Put[0].Part
-	}
-	switch t.fault(part, true) {
+	switch t.fault(transaction.First().Part, true) {
 	case Refused:
 		return 0, store.ErrNotDone
 	case Broken:
