Sight: by what observation a worker stops to count against a request's attempts

Cause: no line or metric told the hypotheses apart. A request's line names its sends, but not which workers counted when it was sent again, nor why one no longer did.

Change: lines for a look at a silent worker that found nobody, for a worker that leaves the count (by what observation, how old) and for a request that may have run and is sent again; `may_have_run` in the request's line; two counters. The count is a type of its own. Pool.Reach tells why no connection came up. No decision changes: tests of forward, httpconn and backend are as they were but for the name of that call.

--- a/internal/backend/revive.go
+++ b/internal/backend/revive.go
@@ -60,9 +60,9 @@
 func (r *Registry) revive(ctx context.Context, worker *Worker) {
 	for wait.For(ctx, reviveEvery) == nil && !worker.Leaving() {
 		limited, cancel := context.WithTimeout(ctx, reviveTimeout)
-		reachable := worker.Pool.Reachable(limited)
+		err := worker.Pool.Reach(limited)
 		cancel()
-		if reachable {
+		if err == nil {
 			worker.reached()
 			return
 		}
--- a/internal/forward/closed.go
+++ b/internal/forward/closed.go
@@ -46,7 +46,7 @@
 	default:
 		return nil
 	}
-	if x.touched {
+	if x.attempts.any() {
 		return refusal.WithRan(fault.RanUnknown)
 	}
 	return refusal
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -102,8 +101,7 @@
 	begun     time.Time
 	client    context.Context // ends when the client leaves
 	excluded  []string        // workers that are not asked (again)
-	ran       []string        // workers that may have run the request and are not known to be gone
-	touched   bool            // some worker may have run the request
+	attempts  attempts        // workers that may have run the request
 	sends     int
 	tried     []string // what became of each send, for the log
 	declines  int
@@ -183,7 +181,7 @@
 	for {
 		var only []string
 		if !x.mayRunElsewhere() {
-			only = x.ran
+			only = x.attempts.counted
 		}
 		worker, err := x.options.Workers.Choose(x.query(only))
 		if err == nil {
@@ -228,7 +226,7 @@
 		refusal = fault.Newf(fault.Overloaded, "come back after the time given",
 			"workers of service %q are cold and get as much as they bear, no warm one has room", x.service)
 	}
-	if x.touched {
+	if x.attempts.any() {
 		return refusal.WithRan(fault.RanUnknown)
 	}
 	if x.coldWait > 0 {
@@ -267,6 +265,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		call.Left = time.Until(deadline)
 	}
+	x.noteResend(worker, call.Left)
 	return x.options.Transport.Send(ctx, worker, call)
 }
 
@@ -285,28 +284,12 @@
 	return min(priority, lowestPriority)
 }
 
-// mayRunElsewhere reports whether the route allows another worker.
-func (x *exchange) mayRunElsewhere() bool { return len(x.ran) < x.route.MaxAttempts }
-
-// markRan notes that a worker may have run the request.
-func (x *exchange) markRan(worker string) {
-	x.touched = true
-	if !slices.Contains(x.ran, worker) {
-		x.ran = append(x.ran, worker)
-	}
-}
-
-// forget takes a worker that is gone out of the count of those asked.
-func (x *exchange) forget(worker string) {
-	x.ran = slices.DeleteFunc(x.ran, func(earlier string) bool { return earlier == worker })
-}
-
 func (x *exchange) exclude(worker string) { x.excluded = append(x.excluded, worker) }
 
 // ended tells the final answer when the request's time is over or its client gone.
 func (x *exchange) ended(ctx context.Context) *fault.Error {
 	ran := fault.RanUnknown
-	if !x.touched {
+	if !x.attempts.any() {
 		ran = fault.RanNo
 	}
 	if x.client.Err() != nil {
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -70,7 +70,7 @@
 	if refusal == nil && (holder == nil || holder.Name != x.tenant.Name) {
 		refusal = unknownKey(x.Configuration(), x.request.Key) // the key is another's now, or nobody needs one
 	}
-	if refusal != nil && x.touched {
+	if refusal != nil && x.attempts.any() {
 		return refusal.WithRan(fault.RanUnknown)
 	}
 	return refusal
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -38,7 +38,7 @@
 // releaseUnused gives back what the request took of its tenant's limit, if no worker
 // can have run it.
 func (x *exchange) releaseUnused() {
-	if x.admitted && !x.touched {
+	if x.admitted && !x.attempts.any() {
 		x.options.Limits.Return(x.tenant.Name)
 	}
 }
--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -23,6 +23,10 @@
 	Failures   prometheus.Counter
 	Unkept     prometheus.Counter
 	TurnedAway *prometheus.CounterVec // by verdict
+	// AttemptsDropped counts workers that no longer count as having run a request, by what was
+	// observed, and BeyondAttempts requests that may have run at more workers than allowed.
+	AttemptsDropped *prometheus.CounterVec
+	BeyondAttempts  prometheus.Counter
 }
 
 // NewMetrics registers the metrics of requests.
@@ -44,7 +48,9 @@
 		Unkept:     counter("turns_unkept_total", "Turns that ran and could not be kept."),
 	}
 	m.TurnedAway = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_sends_turned_away_total", Help: "Sends that were not made because the worker chosen may not get the request, by why."}, []string{"verdict"})
-	registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.Ways, m.TurnedAway)
+	m.AttemptsDropped = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_attempts_dropped_total", Help: "Workers that no longer count against a request's attempts, by what was observed."}, []string{"observed"})
+	m.BeyondAttempts = counter("requests_beyond_attempts_total", "Requests that may have run at more workers than their route allows, those included that were taken to be gone.")
+	registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.Ways, m.TurnedAway, m.AttemptsDropped)
 	return m
 }
 
@@ -106,6 +112,7 @@
 	if x.told {
 		fields["told"] = true
 	}
+	x.noteAttempts(fields)
 	if len(x.tried) > 0 {
 		fields["tried"] = strings.Join(x.tried, ",")
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -54,7 +54,7 @@
 
 // exhausted is the answer when a request was sent often enough.
 func (x *exchange) exhausted() *fault.Error {
-	if !x.touched {
+	if !x.attempts.any() {
 		return x.noWorker(fault.Newf(fault.Unavailable, "come back after the time given", "no worker of service %q can be reached", x.service))
 	}
 	return fault.New(fault.EngineFailed, "the worker broke off", "send the request again if it may be repeated").WithRan(fault.RanUnknown)
@@ -81,7 +81,7 @@
 	if repeatable {
 		dog.heard()
 	}
-	x.markRan(worker.Record().ID)
+	x.attempts.add(worker.Record().ID)
 	if answer.Length > wholeBytes {
 		return true, x.pass(answer, nil)
 	}
@@ -161,7 +161,7 @@
 	id := worker.Record().ID
 	written := !errors.Is(err, httpconn.ErrNotWritten)
 	if written {
-		x.markRan(id)
+		x.attempts.add(id)
 	}
 	if ctx.Err() != nil {
 		return true, x.ended(ctx)
@@ -185,7 +185,7 @@
 	case errors.Is(cause, errUnreachable):
 		worker.Unreachable(time.Now())
 		x.exclude(id)
-		x.forget(id)
+		x.drop(worker, observedNoConnection, unreachableSince(cause))
 	default:
 		worker.Broke(time.Now())
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -57,7 +57,7 @@
 }
 
 func (x *exchange) pauseBeforeResend(ctx context.Context) {
-	if len(x.ran) == 0 {
+	if len(x.attempts.counted) == 0 {
 		return
 	}
 	_ = wait.For(ctx, time.Duration(x.sends)*resendPause)
@@ -76,7 +76,7 @@
 	if answer.Declined {
 		return x.declined(worker, answer), nil
 	}
-	x.markRan(worker.Record().ID)
+	x.attempts.add(worker.Record().ID)
 	if answer.Status != http.StatusOK || !answer.Stream {
 		return x.otherAnswer(ctx, limited, worker, answer)
 	}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/httpconn"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
@@ -32,8 +34,33 @@
 // be, where the workers of its service are usually silent for long.
 const patienceRange = 8
 
+// unreachable is a worker to which no connection came up though several were tried.
+type unreachable struct {
+	looks int
+	since time.Time // when the first of them was tried
+	last  error     // why the last one did not come up
+}
+
+// Error implements error.
+func (u *unreachable) Error() string {
+	return fmt.Sprintf("%v: %d tries since %d ms, the last one: %v", errUnreachable, u.looks, time.Since(u.since).Milliseconds(), u.last)
+}
+
+// Unwrap makes it an errUnreachable.
+func (u *unreachable) Unwrap() error { return errUnreachable }
+
+// unreachableSince is when the first of the tries was made that a cause tells of.
+func unreachableSince(cause error) time.Time {
+	var found *unreachable
+	if errors.As(cause, &found) {
+		return found.since
+	}
+	return time.Now()
+}
+
 // watchdog ends an exchange with a worker that has fallen silent.
 type watchdog struct {
+	logger   log.Interface // that names the request and the worker
 	worker   *backend.Worker
 	silences *backend.Silences // usual at the worker's service
 	least    time.Duration     // of silence before the worker is looked for
@@ -50,6 +77,7 @@
 	checks   atomic.Int32
 	begun    atomic.Bool // the answer has begun
 	last     time.Time   // when the worker was last heard
+	looked   time.Time   // when the first look began since then that found nobody
 }
 
 // watch returns a context that ends with errUnreachable, errStalled or, if the request may
@@ -60,7 +88,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	now := time.Now()
 	w := &watchdog{
-		line: line, worker: worker, silences: x.options.Workers.Silences(x.service), least: least, patient: patient, repeatable: x.route.Repeatable(),
+		logger: x.options.Logger.WithFields(log.Fields{"request": x.request.ID, "worker": worker.Record().ID}),
+		line:   line, worker: worker, silences: x.options.Workers.Silences(x.service), least: least, patient: patient, repeatable: x.route.Repeatable(),
 		sent: now, last: now, priority: x.priority(), cancel: cancel,
 	}
 	w.timer = time.AfterFunc(w.patience(), func() { w.check(ctx) })
@@ -108,18 +137,34 @@
 	w.cancel(nil)
 }
 
+// noteLook logs a look at the worker that found nobody.
+func (w *watchdog) noteLook(checks int, begun time.Time, err error) {
+	if checks == 1 || w.looked.IsZero() {
+		w.looked = begun
+	}
+	w.logger.WithFields(log.Fields{
+		"look":      checks,
+		"took_ms":   time.Since(begun).Milliseconds(),
+		"silent_ms": begun.Sub(w.last).Milliseconds(),
+	}).WithError(err).Warn("worker is silent and no connection to it came up")
+}
+
 func (w *watchdog) check(ctx context.Context) {
+	begun := time.Now()
 	limited, cancel := context.WithTimeout(ctx, checkTimeout)
-	reachable := w.worker.Pool.Reachable(limited)
+	err := w.worker.Pool.Reach(limited)
 	cancel()
 	if ctx.Err() != nil {
 		return
 	}
 	checks := int(w.checks.Add(1))
+	if err != nil {
+		w.noteLook(checks, begun, err)
+	}
 	switch {
-	case !reachable && checks > 1:
-		w.cancel(errUnreachable)
-	case !reachable:
+	case err != nil && checks > 1:
+		w.cancel(&unreachable{looks: checks, since: w.looked, last: err})
+	case err != nil:
 		w.timer.Reset(0)
 	case w.repeatable && w.line.Silent():
 		w.cancel(errSilent)
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -60,7 +60,7 @@
 	OnDial      func()        // counts new connections; may be nil
 	// OnConnected is told how long a connection that came up took to open; may be nil.
 	OnConnected func(took time.Duration)
-	OnLook      func()      // counts calls of Reachable; may be nil
+	OnLook      func()      // counts calls of Reach; may be nil
 	OnBytes     ByteCounter // nil: bytes are not counted
 	// Guard finds connections that have fallen silent.
 	Guard silence.Guard
@@ -327,21 +327,21 @@
 	p.schedulePrune()
 }
 
-// Reachable opens a connection and keeps it. It tells a worker that is slow
-// from one that is gone; one that has no place for the connection is there.
-func (p *Pool) Reachable(ctx context.Context) bool {
+// Reach opens a connection and keeps it, or tells why none came up. A peer that has no
+// place for the connection is there: that is no error.
+func (p *Pool) Reach(ctx context.Context) error {
 	if p.options.OnLook != nil {
 		p.options.OnLook()
 	}
 	c, err := p.dial(ctx)
 	if errors.Is(err, ErrCrowded) {
-		return true
+		return nil
 	}
 	if err != nil {
-		return false
+		return err
 	}
 	p.put(c)
-	return true
+	return nil
 }
 
 // Close drops all idle connections.
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -241,9 +241,9 @@
 		require.ErrorIs(t, err, ErrNotWritten)
 	}
 	require.Equal(t, shortestIdle, p.limit)
-	require.True(t, p.Reachable(t.Context()), "a peer without a place is there")
+	require.NoError(t, p.Reach(t.Context()), "a peer without a place is there")
 	listener.Close()
-	require.False(t, p.Reachable(t.Context()))
+	require.Error(t, p.Reach(t.Context()))
 }
 
 // TestPeerTellsHowLongConnectionsRest: where it says so, they rest longer than where it
@@ -308,10 +308,10 @@
 				return one, nil
 			},
 		})
-		require.False(t, pool.Reachable(t.Context()))
+		require.Error(t, pool.Reach(t.Context()))
 		require.Empty(t, measured)
 		up = true
-		require.True(t, pool.Reachable(t.Context()))
+		require.NoError(t, pool.Reach(t.Context()))
 		require.Equal(t, []time.Duration{24 * time.Millisecond}, measured)
 		pool.Close()
 		time.Sleep(5 * time.Second)
