--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -49,7 +49,7 @@
 	}
 	m.TurnedAway = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_sends_turned_away_total", Help: "Sends that were not made because the worker chosen may not get the request, by why."}, []string{"verdict"})
 	m.AttemptsDropped = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_attempts_dropped_total", Help: "Workers that no longer count against a request's attempts, by what was observed."}, []string{"observed"})
-	m.BeyondAttempts = counter("requests_beyond_attempts_total", "Requests that may have run at more workers than their route allows, those included that were taken to be gone.")
+	m.BeyondAttempts = counter("requests_beyond_attempts_total", "Requests that may have run at more workers than their route allows, those included that have ended.")
 	registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.Ways, m.TurnedAway, m.AttemptsDropped)
 	return m
 }
