--- a/internal/directory/atonce_test.go
+++ b/internal/directory/atonce_test.go
@@ -53,7 +53,7 @@
 			after.learnRow(stored)
 		}
 		for slot := range slots {
-			require.Empty(t, after.owners[slot].Process, "slot %d is left", slot)
+			require.Empty(t, after.slotOwner(slot).Process, "slot %d is left", slot)
 		}
 	})
 }
--- a/internal/directory/grant_test.go
+++ b/internal/directory/grant_test.go
@@ -46,6 +46,13 @@
 	return nil
 }
 
+// slotOwner is what a running process knows of who owns a slot. Its Run changes that at any time.
+func (d *Directory) slotOwner(slot int) owner {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.owners[slot]
+}
+
 // killAll ends all processes and starts others at their addresses.
 func (c *cluster) killAll() {
 	for index := range 3 {
@@ -147,8 +154,8 @@
 			}
 		}
 		require.NotNil(t, successor)
-		require.Equal(t, 1, successor.owners[slot].grants.Earlier)
-		require.True(t, old.owners[slot].grants.right())
+		require.Equal(t, 1, successor.slotOwner(slot).grants.Earlier)
+		require.True(t, old.slotOwner(slot).grants.right())
 	})
 }
 
@@ -168,8 +175,8 @@
 		require.Zero(t, d.AnswerGrant(asked(d, other, 2)).Grant.Tokens, "it has said that it granted nothing there")
 		c.kill(address(0))
 		time.Sleep(time.Minute)
-		require.Equal(t, grants{Known: true, Earlier: 1}, c.owned(slot).owners[slot].grants)
-		require.Equal(t, grants{Known: true}, c.owned(other).owners[other].grants)
+		require.Equal(t, grants{Known: true, Earlier: 1}, c.owned(slot).slotOwner(slot).grants)
+		require.Equal(t, grants{Known: true}, c.owned(other).slotOwner(other).grants)
 	})
 }
 
@@ -192,7 +199,7 @@
 		c.killAll()
 		d := c.owned(slot)
 		require.True(t, d.Raise(t.Context(), slot, "tenant"))
-		require.Equal(t, grants{Known: true, Earlier: 1}, d.owners[slot].grants)
+		require.Equal(t, grants{Known: true, Earlier: 1}, d.slotOwner(slot).grants)
 	})
 }
 
@@ -206,7 +213,7 @@
 		require.NoError(t, c.table.Operate(store.Transaction{Put: []store.Row{{Key: keyOf(5), Value: encoded.Bytes()}}}))
 		d := c.start(address(0))
 		time.Sleep(8 * time.Second)
-		require.Equal(t, grants{Known: true, Earlier: budget.OwnedParts}, d.owners[5].grants)
+		require.Equal(t, grants{Known: true, Earlier: budget.OwnedParts}, d.slotOwner(5).grants)
 		require.Zero(t, d.AnswerGrant(asked(d, 5, 1)).Grant.Tokens)
 	})
 }
