Workers are known by incarnation; changes of the list are taken over together

Causes: (1) a worker that starts again under its ID kept the connections, running requests, failures, pace and cold time of the process before, and at another address even the old pool; a request that had begun at the process before could go on nowhere. (2) The list was cloned and sorted for each entry: a first reading of 10,000 workers took 6.6 s of a core, one replacement 1.2 ms, and each choice went through all workers for zones, allowed ones and the home. Change: Record.Key (ID and start) names an incarnation on all nodes; an entry of another process begins a new Worker, one of an earlier process changes nothing; a request's count drops a worker under whose ID a later process has started, and keeps that it may have run. Registry.Apply merges all changes of a batch into a roster by binary search; zones are checked once each; workers are found by key; pools are made when first needed; an entry that names no worker ends one at once.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -15,7 +15,7 @@
 // Query describes the request to place.
 type Query struct {
 	Service string
-	Home    string // worker that knows the request's context; empty if none is known
+	Home    string // key of the worker that knows the request's context; empty if none is known
 	Key     string // requests with the same key prefer the same worker
 	// SameObject says that the key is an object that a worker may remember.
 	SameObject bool
@@ -26,8 +26,8 @@
 	Regions locality.Regions
 	// Warm says that no cold worker may be chosen.
 	Warm    bool
-	Exclude []string
-	Only    []string // if given, no other worker may be chosen
+	Exclude []string // keys of workers that may not be chosen
+	Only    []string // keys of workers; if given, no other may be chosen
 }
 
 const (
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	for _, worker := range workers {
-		if worker.Record().ID == string(decision.Worker) {
+		if worker.key == string(decision.Worker) {
 			return worker, nil
 		}
 	}
@@ -119,7 +119,7 @@
 func (r *Registry) shortlist(query Query) []*Worker {
 	known := r.of(query.Service)
 	if len(query.Only) > 0 {
-		return allowed(query, known.workers)
+		return r.allowed(known, query)
 	}
 	known = r.open(query.Regions, known)
 	if query.Warm {
@@ -130,7 +130,7 @@
 	if !r.anyFree(short, query) {
 		short = known.appendAway(short, query, spread)
 	}
-	return known.appendHome(short, query)
+	return r.appendHome(short, known, query)
 }
 
 // spreadOf is what decides which workers are on a request's shortlist. Model calls
@@ -144,10 +144,11 @@
 	return query.Key
 }
 
-func allowed(query Query, workers []*Worker) []*Worker {
+// allowed lists the workers that a request may go to where these are few.
+func (r *Registry) allowed(known roster, query Query) []*Worker {
 	kept := make([]*Worker, 0, len(query.Only))
-	for _, worker := range workers {
-		if slices.Contains(query.Only, worker.Record().ID) {
+	for _, key := range query.Only {
+		if worker, ok := r.member(known, query.Service, key); ok {
 			kept = append(kept, worker)
 		}
 	}
@@ -176,16 +177,12 @@
 }
 
 // appendHome appends the worker that knows the request's context, wherever it stands.
-func (r roster) appendHome(short []*Worker, query Query) []*Worker {
-	if query.Home == "" {
+func (r *Registry) appendHome(short []*Worker, known roster, query Query) []*Worker {
+	home, ok := r.member(known, query.Service, query.Home)
+	if !ok || slices.Contains(short, home) {
 		return short
 	}
-	for _, worker := range r.workers {
-		if worker.id == query.Home && !slices.Contains(short, worker) {
-			short = append(short, worker)
-		}
-	}
-	return short
+	return append(short, home)
 }
 
 // appendSpread appends up to most workers that may get new work, spread over the
@@ -199,7 +196,7 @@
 	wanted := len(short) + most
 	for visit := 0; visit < len(workers)+stride && len(short) < wanted; visit++ {
 		worker := workers[(start+visitAt(visit, stride, len(workers)))%len(workers)]
-		if !slices.Contains(short, worker) && !slices.Contains(query.Exclude, worker.Record().ID) && !worker.Leaving() {
+		if !slices.Contains(short, worker) && !slices.Contains(query.Exclude, worker.key) && !worker.Leaving() {
 			short = append(short, worker)
 		}
 	}
@@ -218,7 +215,7 @@
 	defer w.mutex.Unlock()
 	fresh := query.Prompt - query.Shared
 	candidate := place.Candidate{
-		Worker:       id.Worker(w.record.ID),
+		Worker:       id.Worker(w.key),
 		Zone:         w.record.Zone,
 		Healthy:      !now.Before(w.avoidUntil),
 		Leaving:      w.record.Draining,
@@ -234,7 +231,7 @@
 	if now.Before(w.busyUntil) {
 		candidate.Wait += waitOfBusy
 	}
-	if query.Home != "" && w.record.ID != query.Home {
+	if query.Home != "" && w.key != query.Home {
 		candidate.Prefill = time.Duration(fresh) * time.Millisecond / prefillPerMillisecond
 		candidate.Compute = candidate.Prefill
 	}
@@ -246,7 +243,7 @@
 // connected to, long prompts crowd each other out of their memory (0.900 of worth in place
 // of 0.932 on a day of bursts before 45 workers, one play each).
 func (w *Worker) weighConnection(candidate *place.Candidate) {
-	candidate.Connected = w.Pool.Ready()
+	candidate.Connected = w.pool != nil && w.pool.Ready()
 	if !candidate.Connected {
 		candidate.Wait += waitOfConnection
 	}
--- a/internal/backend/closed.go
+++ b/internal/backend/closed.go
@@ -11,18 +11,23 @@
 // request, so that a shortlist is drawn from all that remain: the work of such a zone falls
 // on all others alike. The order stays, and workers is not changed.
 func (r *Registry) open(regions locality.Regions, known roster) roster {
-	closed := func(worker *Worker) bool { return r.zoneVerdict(worker, regions).Refused() }
-	if !slices.ContainsFunc(known.workers, closed) {
+	var closed []string
+	for _, zone := range known.zones {
+		if r.zoneVerdict(zone, regions).Refused() {
+			closed = append(closed, zone)
+		}
+	}
+	if len(closed) == 0 {
 		return known
 	}
-	return known.only(func(worker *Worker) bool { return !closed(worker) })
+	return known.only(func(worker *Worker) bool { return !slices.Contains(closed, worker.zone) })
 }
 
-// zoneVerdict is what a request that may be served in regions may do in a worker's zone.
-func (r *Registry) zoneVerdict(worker *Worker, regions locality.Regions) permit.Verdict {
+// zoneVerdict is what a request that may be served in regions may do in a zone.
+func (r *Registry) zoneVerdict(zone string, regions locality.Regions) permit.Verdict {
 	return permit.Check(permit.Request{Regions: regions}, permit.Worker{
-		Region:    r.options.Places.Region(worker.zone),
-		Evacuated: r.options.Evacuated(worker.zone),
+		Region:    r.options.Places.Region(zone),
+		Evacuated: r.options.Evacuated(zone),
 	})
 }
 
@@ -33,10 +38,10 @@
 func (r *Registry) Closed(service string, regions locality.Regions, only []string) (why permit.Verdict, evacuated []string) {
 	workers := r.Of(service)
 	for _, worker := range workers {
-		if len(only) > 0 && !slices.Contains(only, worker.id) {
+		if len(only) > 0 && !slices.Contains(only, worker.key) {
 			continue
 		}
-		verdict := r.zoneVerdict(worker, regions)
+		verdict := r.zoneVerdict(worker.zone, regions)
 		switch {
 		case worker.Record().Draining:
 			continue
--- a/internal/backend/connected_test.go
+++ b/internal/backend/connected_test.go
@@ -20,7 +20,7 @@
 
 // connect leaves an idle connection to a worker.
 func connect(t *testing.T, registry *Registry, worker string) {
-	require.NoError(t, registry.get(worker).Pool.Reach(t.Context()))
+	require.NoError(t, registry.get(worker).Pool().Reach(t.Context()))
 }
 
 // TestOpenConnectionsAreUsedAgain: of workers that are alike, a node asks those to which it is
--- a/internal/backend/near.go
+++ b/internal/backend/near.go
@@ -23,14 +23,14 @@
 
 // Way tells how far a request goes to a worker, and why if that is another region.
 func (r *Registry) Way(worker *Worker, query Query) (locality.Distance, Reason) {
-	distance := r.distance(worker)
+	distance := worker.distance
 	if distance != locality.OtherRegion {
 		return distance, ""
 	}
 	known := r.of(query.Service)
 	near := known.workers[:known.region]
 	switch {
-	case query.Home == worker.id:
+	case query.Home == worker.key:
 		return distance, ReasonHome
 	case !slices.ContainsFunc(near, func(w *Worker) bool { return !r.Check(w, query.Regions).Refused() }):
 		return distance, ReasonNone
@@ -41,11 +41,6 @@
 	}
 }
 
-// distance is how far a worker is away.
-func (r *Registry) distance(worker *Worker) locality.Distance {
-	return r.vantage.To(worker.zone)
-}
-
 // RoundTrip is how long a message to a worker and its answer are taken to last; 0 in the
 // node's zone.
 func (r *Registry) RoundTrip(worker *Worker) time.Duration { return r.ways.RoundTrip(worker.zone) }
@@ -54,9 +49,7 @@
 // One of another region is compared by its way and by what others must read again, and by
 // nothing else: a program that stays there pays the way for each of its turns.
 func (r *Registry) homeNearby(query Query) string {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if home, ok := r.workers[query.Home]; ok && r.distance(home) == locality.OtherRegion {
+	if home, ok := r.byKey(query.Home); ok && home.distance == locality.OtherRegion {
 		return ""
 	}
 	return query.Home
@@ -66,7 +59,7 @@
 func (r *Registry) anyFree(workers []*Worker, query Query) bool {
 	now := r.options.Now()
 	return slices.ContainsFunc(workers, func(w *Worker) bool {
-		return w.free(now) && !slices.Contains(query.Exclude, w.id) && r.Check(w, query.Regions) == permit.Allowed
+		return w.free(now) && !slices.Contains(query.Exclude, w.key) && r.Check(w, query.Regions) == permit.Allowed
 	})
 }
 
--- a/internal/backend/near_test.go
+++ b/internal/backend/near_test.go
@@ -23,7 +23,7 @@
 // sizes of a service: all workers are ranked, or a shortlist is.
 var sizes = []int{12, 6 * lookAtAll}
 
-func distanceOf(r *Registry, worker string) locality.Distance { return r.distance(r.get(worker)) }
+func distanceOf(r *Registry, worker string) locality.Distance { return r.get(worker).distance }
 
 // near lists the workers of the registry's region.
 func (r *Registry) near() (near []*Worker) {
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -1,15 +1,15 @@
 package backend
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cloverwheel/cloverwheel/internal/httpconn"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/silence"
@@ -46,17 +46,15 @@
 	longestIdle = 15 * time.Second
 )
 
-// lingering is how long a worker that left the list may still be used when its
-// service has no other: entries also vanish while the list's keeper is down.
-const lingering = 1500 * time.Millisecond
-
 // Registry is the set of workers. It is safe for concurrent use.
 type Registry struct {
 	options  Options
 	vantage  locality.Vantage
 	ways     *Ways
+	lapse    time.Duration // for how long a word of a worker's warmth counts at this node
 	mutex    sync.Mutex
-	workers  map[string]*Worker
+	workers  map[string]*Worker // by key
+	keys     map[string]string  // by ID, of workers whose key is another
 	services map[string]roster
 	vanished map[string][]vanished
 	silences map[string]*Silences
@@ -64,32 +62,6 @@
 	heard    atomic.Pointer[time.Time] // when the list of workers was last heard of
 }
 
-// roster lists the workers of a service: those of the node's zone first, then those of its
-// region, else by ID. Its slice is replaced, never changed in place.
-type roster struct {
-	workers []*Worker
-	near    int // of the node's zone
-	region  int // of its region, with those
-}
-
-// only lists those of the workers that may be kept.
-func (r roster) only(keep func(*Worker) bool) roster {
-	kept := roster{workers: make([]*Worker, 0, len(r.workers))}
-	for index, worker := range r.workers {
-		if !keep(worker) {
-			continue
-		}
-		kept.workers = append(kept.workers, worker)
-		if index < r.near {
-			kept.near++
-		}
-		if index < r.region {
-			kept.region++
-		}
-	}
-	return kept
-}
-
 type vanished struct {
 	worker *Worker
 	until  time.Time
@@ -111,7 +83,9 @@
 		options:  options,
 		vantage:  vantage,
 		ways:     NewWays(vantage, options.Now),
+		lapse:    wordLasts + time.Duration(xxhash.Sum64String(options.Node)%uint64(lapseSpread)),
 		workers:  map[string]*Worker{},
+		keys:     map[string]string{},
 		services: map[string]roster{},
 		vanished: map[string][]vanished{},
 		silences: map[string]*Silences{},
@@ -119,30 +93,32 @@
 	}
 }
 
-// Put adds a worker or takes over what the list says of it now. It reports
-// whether that is news.
-func (r *Registry) Put(record Record) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if known, ok := r.workers[record.ID]; ok {
-		return known.update(record, r.options.Now())
+// newWorker is one of which nothing but its entry is known.
+func (r *Registry) newWorker(record Record, now time.Time) *Worker {
+	worker := &Worker{
+		registry: r, id: record.ID, key: record.Key(), service: record.Service, zone: record.Zone,
+		distance: r.vantage.To(record.Zone), record: record,
+	}
+	worker.warmth.learnRow(record, now)
+	return worker
+}
+
+// byID is the worker of an entry. The caller holds the mutex.
+func (r *Registry) byID(id string) (*Worker, bool) {
+	key, ok := r.keys[id]
+	if !ok {
+		key = id
 	}
-	worker := &Worker{id: record.ID, zone: record.Zone, record: record, Pool: r.pool(record), unreachable: r.noteLost}
-	worker.warmth.learnRow(record, r.options.Now())
-	r.workers[record.ID] = worker
-	r.services[record.Service] = r.rosterOf(append(slices.Clone(r.services[record.Service].workers), worker))
-	return true
+	worker, ok := r.workers[key]
+	return worker, ok
 }
 
-// rosterOf orders workers. Their zones and IDs do not change.
-func (r *Registry) rosterOf(workers []*Worker) roster {
-	slices.SortFunc(workers, func(a, b *Worker) int {
-		return cmp.Or(cmp.Compare(r.distance(a), r.distance(b)), strings.Compare(a.id, b.id))
-	})
-	from := func(w *Worker, distance locality.Distance) int { return cmp.Compare(r.distance(w), distance) }
-	near, _ := slices.BinarySearchFunc(workers, locality.SameRegion, from)
-	region, _ := slices.BinarySearchFunc(workers, locality.OtherRegion, from)
-	return roster{workers: workers, near: near, region: region}
+// byKey is the worker of a key.
+func (r *Registry) byKey(key string) (*Worker, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	worker, ok := r.workers[key]
+	return worker, ok
 }
 
 func (r *Registry) pool(record Record) *httpconn.Pool {
@@ -171,43 +147,6 @@
 	}
 }
 
-// update takes over a row that is not older than what is known.
-func (w *Worker) update(record Record, now time.Time) bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if record.Revision < w.record.Revision {
-		return false
-	}
-	if record.Revision > w.record.Revision || record != w.record {
-		w.warmth.learnRow(record, now)
-	}
-	before := w.record
-	w.record = record
-	before.Revision = record.Revision
-	return before != record
-}
-
-// Remove takes a worker off the list. What it is running goes on.
-func (r *Registry) Remove(id string) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	worker, ok := r.workers[id]
-	if !ok {
-		return
-	}
-	delete(r.workers, id)
-	worker.mutex.Lock()
-	service, wasDraining := worker.record.Service, worker.record.Draining
-	worker.gone = true
-	worker.mutex.Unlock()
-	r.services[service] = r.rosterOf(slices.DeleteFunc(slices.Clone(r.services[service].workers), func(w *Worker) bool { return w == worker }))
-	worker.Pool.Close()
-	if !wasDraining {
-		until := r.options.Now().Add(lingering)
-		r.vanished[service] = append(r.stillLingering(service), vanished{worker: worker, until: until})
-	}
-}
-
 // stillLingering drops the vanished workers of a service whose time is over and
 // returns the others.
 func (r *Registry) stillLingering(service string) []vanished {
@@ -215,13 +154,23 @@
 	return slices.DeleteFunc(r.vanished[service], func(v vanished) bool { return !now.Before(v.until) })
 }
 
+// Revision is that of a worker's entry, as it was last taken over; 0: it has none.
+func (r *Registry) Revision(id string) uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if worker, ok := r.byID(id); ok {
+		return worker.Record().Revision
+	}
+	return 0
+}
+
 // IDs lists all workers.
 func (r *Registry) IDs() []string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	ids := make([]string, 0, len(r.workers))
-	for id := range r.workers {
-		ids = append(ids, id)
+	for _, worker := range r.workers {
+		ids = append(ids, worker.id)
 	}
 	return ids
 }
@@ -244,17 +193,26 @@
 	for _, candidate := range r.vanished[service] {
 		workers = append(workers, candidate.worker)
 	}
-	return r.rosterOf(workers)
+	known := newRoster(workers)
+	known.lingering = true
+	return known
 }
 
-// Has reports whether the worker is one of the service's and takes new work.
-func (r *Registry) Has(service, id string) bool {
-	r.mutex.Lock()
-	worker, ok := r.workers[id]
-	r.mutex.Unlock()
-	if !ok {
-		return false
+// member is the worker of a key, if it is one of a service's, whose roster is known.
+func (r *Registry) member(known roster, service, key string) (*Worker, bool) {
+	if known.lingering {
+		index := slices.IndexFunc(known.workers, func(w *Worker) bool { return w.key == key })
+		if index < 0 {
+			return nil, false
+		}
+		return known.workers[index], true
 	}
-	record := worker.Record()
-	return record.Service == service && !record.Draining
+	worker, ok := r.byKey(key)
+	return worker, ok && worker.service == service
+}
+
+// Has reports whether the worker of a key is one of the service's and takes new work.
+func (r *Registry) Has(service, key string) bool {
+	worker, ok := r.byKey(key)
+	return ok && worker.service == service && !worker.Leaving()
 }
--- a/internal/backend/revive.go
+++ b/internal/backend/revive.go
@@ -60,7 +60,7 @@
 func (r *Registry) revive(ctx context.Context, worker *Worker) {
 	for wait.For(ctx, reviveEvery) == nil && !worker.Leaving() {
 		limited, cancel := context.WithTimeout(ctx, reviveTimeout)
-		err := worker.Pool.Reach(limited)
+		err := worker.Pool().Reach(limited)
 		cancel()
 		if err == nil {
 			worker.reached()
--- a/internal/backend/warmth.go
+++ b/internal/backend/warmth.go
@@ -1,10 +1,6 @@
 package backend
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // Source says by whose word a worker is cold or warm.
 type Source string
@@ -81,7 +77,7 @@
 	known := worker.warmth
 	warmth := Warmth{Source: known.source, Age: now.Sub(known.learnt)}
 	left := known.until.Sub(now)
-	lapsed := now.Sub(known.learnt) > r.lapseAfter() && now.Sub(r.heardAt()) > r.lapseAfter()
+	lapsed := now.Sub(known.learnt) > r.lapse && now.Sub(r.heardAt()) > r.lapse
 	if left <= 0 && !lapsed {
 		return warmth
 	}
@@ -91,11 +87,6 @@
 	return warmth
 }
 
-// lapseAfter is for how long a word counts at this node.
-func (r *Registry) lapseAfter() time.Duration {
-	return wordLasts + time.Duration(xxhash.Sum64String(r.options.Node)%uint64(lapseSpread))
-}
-
 // cold reports whether a worker is not known to be warm.
 func (r *Registry) cold(worker *Worker) bool {
 	warmth := r.Warmth(worker)
--- a/internal/backend/warmth_test.go
+++ b/internal/backend/warmth_test.go
@@ -136,7 +136,7 @@
 
 func TestWarmIsNotBelievedForEver(t *testing.T) {
 	registry, worker, pass := coldClock(t, Record{Revision: 1})
-	pass(registry.lapseAfter() + time.Millisecond)
+	pass(registry.lapse + time.Millisecond)
 	require.True(t, registry.Warmth(worker).Lapsed)
 	require.Equal(t, permit.Metered, registry.Check(worker, nil))
 	registry.Heard()
@@ -145,7 +145,7 @@
 
 func TestOwnAnswerRenewsWhatHasLapsed(t *testing.T) {
 	registry, worker, pass := coldClock(t, Record{Revision: 1})
-	pass(registry.lapseAfter() + time.Millisecond)
+	pass(registry.lapse + time.Millisecond)
 	registry.NoteHealth(worker, 0, registry.options.Now())
 	require.Equal(t, permit.Allowed, registry.Check(worker, nil))
 }
@@ -153,7 +153,7 @@
 func TestWorkersAreSeldomAskedHowTheyAre(t *testing.T) {
 	registry, worker, pass := coldClock(t, Record{Revision: 1})
 	require.False(t, registry.MayAskHealth(worker), "it is known")
-	pass(registry.lapseAfter() + time.Millisecond)
+	pass(registry.lapse + time.Millisecond)
 	require.True(t, registry.MayAskHealth(worker))
 	require.False(t, registry.MayAskHealth(worker))
 	pass(askPause)
@@ -165,8 +165,8 @@
 	lapse := map[int]int{} // nodes by second
 	for node := range 100 {
 		registry := registryOf(Options{Node: fmt.Sprint("node", node)}, 1)
-		require.GreaterOrEqual(t, registry.lapseAfter(), wordLasts)
-		lapse[int(registry.lapseAfter().Seconds())]++
+		require.GreaterOrEqual(t, registry.lapse, wordLasts)
+		lapse[int(registry.lapse.Seconds())]++
 	}
 	for second, nodes := range lapse {
 		require.Less(t, nodes, 25, "second %d", second)
--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -9,22 +9,9 @@
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/httpconn"
+	"github.com/cloverwheel/cloverwheel/internal/locality"
 )
 
-// Record is what the list of workers says of one. A restarted worker has a new ID.
-type Record struct {
-	ID       string
-	Service  string
-	Address  string // IP:PORT
-	Zone     string
-	Slots    int
-	Draining bool
-	// ColdLeft is how much longer the worker bore little when the list last took its word.
-	ColdLeft time.Duration
-	// Revision of the entry rises with each change; older entries are passed over.
-	Revision uint64
-}
-
 // Tuning of how a worker's past answers weigh.
 const (
 	failureWeight   = 0.2 // of the newest answer in the share of failures
@@ -38,15 +25,17 @@
 
 // Worker is one incarnation of a worker as this node has experienced it.
 type Worker struct {
-	Pool *httpconn.Pool
-
-	id, zone    string        // of its first entry; they do not change
-	unreachable func(*Worker) // told when no connection comes up
+	registry *Registry
+	// Of its first entry; an entry in which one differs is another process's.
+	id, key, service, zone string
+	distance               locality.Distance
 
 	mutex      sync.Mutex
 	record     Record
 	warmth     warmth
-	gone       bool
+	pool       *httpconn.Pool // nil: nothing was sent to it yet
+	gone       bool           // it is not on the list any more
+	succeeded  bool           // another process has started under its ID since
 	running    int
 	failures   float64 // share of broken answers, as of failedAt; it halves with time
 	failedAt   time.Time
@@ -54,8 +43,9 @@
 	avoidFor   time.Duration
 	avoidUntil time.Time
 	busyUntil  time.Time
-	step       time.Duration         // between two tokens; 0: unknown
-	served     [Priorities]time.Time // by priority: when the newest request that was answered had been sent
+	step       time.Duration // between two tokens; 0: unknown
+	// served is by priority when the newest request that was answered had been sent; nil: none was.
+	served *[Priorities]time.Time
 }
 
 // Priorities is the number of priorities that a worker knows; 0 is the most urgent.
@@ -68,6 +58,62 @@
 	return w.record
 }
 
+// Key names this incarnation of the worker, alike on all nodes.
+func (w *Worker) Key() string { return w.key }
+
+// Pool holds the connections to the worker. It is made when it is first needed: a node sends to
+// few of the workers that it knows, and pools of 10,000 take 4 MB.
+func (w *Worker) Pool() *httpconn.Pool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.pool == nil {
+		w.pool = w.registry.pool(w.record)
+		if w.gone {
+			w.pool.Close()
+		}
+	}
+	return w.pool
+}
+
+// update takes over an entry that is not older than what is known. It reports whether that is
+// news.
+func (w *Worker) update(record Record, now time.Time) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if record.Revision > w.record.Revision || record != w.record {
+		w.warmth.learnRow(record, now)
+	}
+	before := w.record
+	w.record = record
+	before.Revision = record.Revision
+	return before != record
+}
+
+// leave notes that the worker is not on the list any more.
+func (w *Worker) leave() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.gone = true
+	if w.pool != nil {
+		w.pool.Close()
+	}
+}
+
+// noteSuccessor notes that another process has started under the worker's ID.
+func (w *Worker) noteSuccessor() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.succeeded = true
+}
+
+// Succeeded reports whether another process has started under the worker's ID since: this one
+// has ended, then.
+func (w *Worker) Succeeded() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.succeeded
+}
+
 // Leaving reports whether the worker must get no new work.
 func (w *Worker) Leaving() bool {
 	w.mutex.Lock()
@@ -101,6 +147,9 @@
 func (w *Worker) Serves(sent time.Time, priority int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.served == nil {
+		w.served = new([Priorities]time.Time)
+	}
 	if sent.After(w.served[priority]) {
 		w.served[priority] = sent
 	}
@@ -111,6 +160,9 @@
 func (w *Worker) Overtaken(sent time.Time, priority int) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.served == nil {
+		return false
+	}
 	for _, other := range w.served[priority:] {
 		if other.After(sent) {
 			return true
@@ -150,7 +202,7 @@
 	w.addFailure(now)
 	w.avoid(now)
 	w.mutex.Unlock()
-	w.unreachable(w)
+	w.registry.noteLost(w)
 }
 
 // stayAway lets other workers come first for at least so long.
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -14,8 +14,8 @@
 
 // attempts are the workers that may have run a request. Its route bounds how many count.
 //
-// A worker leaves the count by the word of its machine alone, which no later event takes back:
-// its process has ended. That it is silent, and that no connection to it comes up for a while, is
+// A worker leaves the count by the word of its machine, or by that of the process that started
+// under its ID after it, which no later event takes back: its process has ended. That it is silent, and that no connection to it comes up for a while, is
 // no such word. A paused worker whose queue of connections is full looks like that, and so does
 // a path that loses first packets; both work on the request afterwards (42 and 26 of 350
 // requests ran at two workers where one was allowed, four to six nodes and workers as processes).
@@ -60,6 +60,23 @@
 	a.dropped = append(a.dropped, worker+":"+observed)
 }
 
+// mayHaveRun notes that a worker may have run the request.
+func (x *exchange) mayHaveRun(worker *backend.Worker) {
+	x.attempts.add(worker.Key())
+	x.asked = append(x.asked, worker)
+}
+
+// dropSucceeded takes the workers out of the count under whose IDs other processes have started
+// since: they have ended. What a new process says is no word of the one before, so a request that
+// this one may have run stays one that may have run.
+func (x *exchange) dropSucceeded() {
+	for _, worker := range x.asked {
+		if slices.Contains(x.attempts.counted, worker.Key()) && worker.Succeeded() {
+			x.drop(worker, observedSucceeded)
+		}
+	}
+}
+
 // mayRunElsewhere reports whether the route allows another worker.
 func (x *exchange) mayRunElsewhere() bool { return len(x.attempts.counted) < x.route.MaxAttempts }
 
@@ -74,7 +91,7 @@
 
 // drop takes a worker out of the count of those asked, by what has just been observed.
 func (x *exchange) drop(worker *backend.Worker, observed string) {
-	id := worker.Record().ID
+	id := worker.Key()
 	x.attempts.drop(id, observed)
 	x.options.Metrics.AttemptsDropped.WithLabelValues(observed).Inc()
 	x.options.Logger.WithFields(log.Fields{
@@ -96,7 +113,7 @@
 	}
 	x.options.Logger.WithFields(log.Fields{
 		"request":      x.request.ID,
-		"worker":       worker.Record().ID,
+		"worker":       worker.Key(),
 		"send":         x.sends,
 		"after_ms":     time.Since(x.begun).Milliseconds(),
 		"left_ms":      left.Milliseconds(),
@@ -117,5 +134,8 @@
 	}
 }
 
-// observedEnded is what is observed of a worker that no longer counts: its process has ended.
-const observedEnded = "ended"
+// What is observed of a worker that no longer counts.
+const (
+	observedEnded     = "ended"     // it closed the connection, and nobody listens at its address
+	observedSucceeded = "succeeded" // another process has started under its ID
+)
--- a/internal/forward/clear.go
+++ b/internal/forward/clear.go
@@ -71,7 +71,7 @@
 	if verdict.Refused() || verdict == permit.Metered && !loan.holds() {
 		x.options.Metrics.TurnedAway.WithLabelValues(verdict.String()).Inc()
 		x.noteTried(worker, x.whyNot(worker, verdict))
-		x.exclude(worker.Record().ID)
+		x.exclude(worker.Key())
 		return false, nil
 	}
 	return true, nil
@@ -96,7 +96,7 @@
 	}
 	x.coldAsks++
 	loan := x.options.Allowance.Borrow(ctx, ColdRequest{
-		Worker: worker.Record().ID, Zone: worker.Record().Zone, Service: x.service, Begins: x.home == "",
+		Worker: worker.Key(), Zone: worker.Record().Zone, Service: x.service, Begins: x.home == "",
 	})
 	if loan.Until.IsZero() && x.askHealth(ctx, worker) {
 		return loan
@@ -118,7 +118,7 @@
 	defer cancel()
 	sent := time.Now()
 	left, err := x.options.Prober.ColdLeft(ctx, worker, path)
-	entry := x.options.Logger.WithFields(log.Fields{"worker": worker.Record().ID, "request": x.request.ID, "cold_ms": left.Milliseconds()})
+	entry := x.options.Logger.WithFields(log.Fields{"worker": worker.Key(), "request": x.request.ID, "cold_ms": left.Milliseconds()})
 	if err != nil {
 		entry.WithError(err).Warn("worker does not say whether it is warm, passed over")
 		return false
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -99,9 +99,10 @@
 	body      []byte
 	out       Responder
 	begun     time.Time
-	client    context.Context // ends when the client leaves
-	excluded  []string        // workers that are not asked (again)
-	attempts  attempts        // workers that may have run the request
+	client    context.Context   // ends when the client leaves
+	excluded  []string          // workers that are not asked (again)
+	attempts  attempts          // workers that may have run the request
+	asked     []*backend.Worker // the same
 	sends     int
 	tried     []string // what became of each send, for the log
 	declines  int
@@ -179,6 +180,7 @@
 func (x *exchange) choose(ctx context.Context) (*backend.Worker, *fault.Error) {
 	hold := min(x.route.Objective/holdShare, longestHold)
 	for {
+		x.dropSucceeded()
 		var only []string
 		if !x.mayRunElsewhere() {
 			only = x.attempts.counted
@@ -250,7 +252,7 @@
 // send sends the call to a worker under a context that the watchdog may end.
 func (x *exchange) send(ctx context.Context, worker *backend.Worker) (*Answer, error) {
 	x.sends++
-	x.worker = worker.Record().ID
+	x.worker = worker.Key()
 	x.options.Metrics.Sends.Inc()
 	x.noteWay(worker)
 	call := Call{
--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -136,7 +136,7 @@
 
 // noteTried notes what became of a send that did not bring the answer.
 func (x *exchange) noteTried(worker *backend.Worker, outcome string) {
-	x.tried = append(x.tried, worker.Record().ID+":"+outcome)
+	x.tried = append(x.tried, worker.Key()+":"+outcome)
 }
 
 // noteFailure logs a broken exchange with a worker.
@@ -146,7 +146,7 @@
 	record := worker.Record()
 	entry := x.options.Logger.WithFields(log.Fields{
 		"request": x.request.ID,
-		"worker":  record.ID,
+		"worker":  worker.Key(),
 		"address": record.Address,
 		"send":    x.sends,
 		"events":  x.events,
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -81,7 +81,7 @@
 	if repeatable {
 		dog.heard()
 	}
-	x.attempts.add(worker.Record().ID)
+	x.mayHaveRun(worker)
 	if answer.Length > wholeBytes {
 		return true, x.pass(answer, nil)
 	}
@@ -97,7 +97,7 @@
 		worker.Broke(time.Now())
 		x.noteTried(worker, strconv.Itoa(answer.Status))
 		if repeatable && x.mayRunElsewhere() {
-			x.exclude(worker.Record().ID)
+			x.exclude(worker.Key())
 			return false, nil
 		}
 	} else {
@@ -150,14 +150,14 @@
 	worker.Declined(time.Now())
 	x.noteTried(worker, "declined")
 	x.declines++
-	x.exclude(worker.Record().ID)
+	x.exclude(worker.Key())
 	x.options.Metrics.Declines.Inc()
 	return false
 }
 
 // notReached notes that nothing was written to a worker.
 func (x *exchange) notReached(worker *backend.Worker, err error) {
-	id := worker.Record().ID
+	id := worker.Key()
 	x.exclude(id)
 	if errors.Is(err, httpconn.ErrCrowded) {
 		worker.Declined(time.Now())
@@ -173,10 +173,10 @@
 // failed decides what a broken exchange means: whether the request is over, or
 // another worker may be asked.
 func (x *exchange) failed(ctx, limited context.Context, worker *backend.Worker, err error) (bool, *fault.Error) {
-	id := worker.Record().ID
+	id := worker.Key()
 	written := !errors.Is(err, httpconn.ErrNotWritten)
 	if written {
-		x.attempts.add(id)
+		x.mayHaveRun(worker)
 	}
 	if ctx.Err() != nil {
 		return true, x.ended(ctx)
--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -58,7 +58,7 @@
 	o.sends.Add(1)
 	request := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: call.Request.Target}, Host: "h", Header: http.Header{},
 		Body: io.NopCloser(bytes.NewReader(call.Body)), ContentLength: int64(len(call.Body))}
-	got, err := worker.Pool.Send(ctx, request)
+	got, err := worker.Pool().Send(ctx, request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -76,7 +76,7 @@
 	if answer.Declined {
 		return x.declined(worker, answer), nil
 	}
-	x.attempts.add(worker.Record().ID)
+	x.mayHaveRun(worker)
 	if answer.Status != http.StatusOK || !answer.Stream {
 		return x.otherAnswer(ctx, limited, worker, answer)
 	}
@@ -106,7 +106,7 @@
 	}
 	if failure && x.route.Repeatable() && x.sends < maxSends {
 		if x.mayRunElsewhere() {
-			x.exclude(worker.Record().ID)
+			x.exclude(worker.Key())
 		}
 		return false, nil
 	}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -83,8 +83,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	now := time.Now()
 	w := &watchdog{
-		logger: x.options.Logger.WithFields(log.Fields{"request": x.request.ID, "worker": worker.Record().ID}),
-		line:   line, worker: worker, silences: x.options.Workers.Silences(x.service), least: least, patient: patient, repeatable: x.route.Repeatable(), movable: x.movable(worker.Record().ID),
+		logger: x.options.Logger.WithFields(log.Fields{"request": x.request.ID, "worker": worker.Key()}),
+		line:   line, worker: worker, silences: x.options.Workers.Silences(x.service), least: least, patient: patient, repeatable: x.route.Repeatable(), movable: x.movable(worker.Key()),
 		sent: now, last: now, priority: x.priority(), cancel: cancel,
 	}
 	w.timer = time.AfterFunc(w.patience(), func() { w.check(ctx) })
@@ -138,7 +138,7 @@
 func (w *watchdog) check(ctx context.Context) {
 	begun := time.Now()
 	limited, cancel := context.WithTimeout(ctx, checkTimeout)
-	err := w.worker.Pool.Reach(limited)
+	err := w.worker.Pool().Reach(limited)
 	cancel()
 	if ctx.Err() != nil {
 		return
