Entries of the list of workers that no worker has written name no worker

One line for each such entry when it appears or changes, and the counter foreign_worker_entries_total. What was read on a page is not decoded again when the list is whole.

--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -22,6 +22,8 @@
 	Dials    prometheus.Counter
 	Looks    prometheus.Counter // whether a worker takes connections
 	Relayed  prometheus.Counter // calls to the table that other nodes were asked for
+	// ForeignEntries counts entries of the list of workers that name no worker.
+	ForeignEntries prometheus.Counter
 
 	limitAnswers *prometheus.CounterVec // by outcome
 	coldAnswers  *prometheus.CounterVec // by outcome
@@ -66,7 +68,8 @@
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "grants_total", Help: "Requests for a part of a program's budget that this node answered as the owner, by what came of them."}, []string{"outcome"})
 	registry.MustRegister(m.limitAnswers, m.coldAnswers, m.silent, m.grants, m.ways, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
 	m.Relayed = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
-	registry.MustRegister(m.Dials, m.Looks, m.Relayed, m.tableCalls, m.tableBytes)
+	m.ForeignEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "foreign_worker_entries_total", Help: "Entries of the list of workers that appeared or changed and name no worker."})
+	registry.MustRegister(m.Dials, m.Looks, m.Relayed, m.ForeignEntries, m.tableCalls, m.tableBytes)
 	return m
 }
 
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -1,8 +1,11 @@
 package server
 
 import (
+	"maps"
+
 	"github.com/apex/log"
 
+	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 )
@@ -54,9 +57,10 @@
 	}
 	for _, id := range s.workers.IDs() {
 		if !listed[id] {
-			s.removeWorker(id)
+			rows = append(rows, store.Row{Key: store.Key{Name: id}, Gone: true})
 		}
 	}
+	s.foreign.keepOnly(listed)
 	s.changeWorkers(rows)
 	s.listed.Store(true) // also if there is none
 }
@@ -67,32 +71,75 @@
 	if len(rows) > 0 {
 		defer s.listed.Store(true)
 	}
+	updates := make([]backend.Update, 0, len(rows))
 	for _, row := range rows {
-		if row.Gone {
-			s.removeWorker(row.Name)
-			continue
+		if update, news := s.workerUpdate(row); news {
+			updates = append(updates, update)
 		}
-		record, err := s.options.Records.Worker(row)
-		if err != nil {
-			s.options.Logger.WithError(err).WithField("worker", row.Name).Error("worker's entry not understood, left out")
-			continue
+	}
+	for index, news := range s.workers.Apply(updates) {
+		if news {
+			s.logWorker(updates[index])
 		}
-		if !s.workers.Put(record) {
-			continue
+	}
+}
+
+// workerUpdate is what a row says of a worker, unless that is known: a list is read as a whole
+// after each of its pages was taken over.
+func (s *Server) workerUpdate(row store.Row) (update backend.Update, news bool) {
+	if row.Gone {
+		s.foreign.forget(row.Name)
+		return backend.Update{Record: backend.Record{ID: row.Name}, End: backend.Removed}, true
+	}
+	if row.Version != 0 && s.workers.Revision(row.Name) == uint64(row.Version) {
+		return backend.Update{}, false
+	}
+	record, err := s.options.Records.Worker(row)
+	if err != nil {
+		if s.foreign.note(row) {
+			s.options.Metrics.ForeignEntries.Inc()
+			s.options.Logger.WithError(err).WithField("worker", row.Name).WithField("revision", uint64(row.Version)).
+				Warn("entry of the list of workers is passed over")
 		}
-		s.options.Logger.WithFields(log.Fields{
-			"worker":   record.ID,
-			"service":  record.Service,
-			"address":  record.Address,
-			"zone":     record.Zone,
-			"draining": record.Draining,
-			"cold_ms":  record.ColdLeft.Milliseconds(),
-			"revision": uint64(row.Version),
-		}).Info("worker")
+		return backend.Update{Record: backend.Record{ID: row.Name}, End: backend.Unusable}, true
+	}
+	s.foreign.forget(row.Name)
+	return backend.Update{Record: record}, true
+}
+
+func (s *Server) logWorker(update backend.Update) {
+	entry := s.options.Logger.WithField("worker", update.Record.Key())
+	if update.End != backend.Stays {
+		entry.Info("worker gone")
+		return
 	}
+	record := update.Record
+	entry.WithFields(log.Fields{
+		"service":  record.Service,
+		"address":  record.Address,
+		"zone":     record.Zone,
+		"draining": record.Draining,
+		"cold_ms":  record.ColdLeft.Milliseconds(),
+		"revision": record.Revision,
+	}).Info("worker")
 }
 
-func (s *Server) removeWorker(id string) {
-	s.workers.Remove(id)
-	s.options.Logger.WithField("worker", id).Info("worker gone")
+// foreignEntries are the entries of the list of workers that name no worker, by name with their
+// revisions. Each is logged when it appears or changes, not at each reading.
+type foreignEntries map[string]store.Version
+
+// note notes an entry. It reports whether that is news.
+func (f foreignEntries) note(row store.Row) bool {
+	if known, ok := f[row.Name]; ok && known == row.Version {
+		return false
+	}
+	f[row.Name] = row.Version
+	return true
+}
+
+func (f foreignEntries) forget(name string) { delete(f, name) }
+
+// keepOnly forgets the entries that are not on the list any more.
+func (f foreignEntries) keepOnly(listed map[string]bool) {
+	maps.DeleteFunc(f, func(name string, _ store.Version) bool { return !listed[name] })
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -105,7 +105,8 @@
 	board     *evacuation.Board
 	draining  atomic.Bool
 	isolated  atomic.Bool
-	listed    atomic.Bool // the list of workers is known
+	listed    atomic.Bool    // the list of workers is known
+	foreign   foreignEntries // used by the follower of the list alone
 	sweeper   *sweep.Sweeper
 	budgets   *budget.Book
 	knowledge *knowledge
@@ -150,6 +151,7 @@
 		table:     core.table,
 		programs:  core.programs,
 		peers:     peers,
+		foreign:   foreignEntries{},
 		clients:   newClients(options.Settings.Descriptors),
 		drain:     make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
