Nodes keep a part of a long list of workers

Cause: every node read and followed the whole list: nodes times workers. Change: a list longer than 600 rows (estimated from its first 64) is kept in part: 96 rows from a place on the ring of names that the node's own name decides, grown by a page while a service has fewer than 8 workers or requests find none. Homes outside it are asked for by their id; what prompts share is kept by the 32 rows behind a place that its name decides, the same at all nodes, so first turns read it again at few workers. While the feed would tell more than the part is long (workers that start or are released), the part is read anew every 1 to 2 s. Tests: places are spread evenly over lists of several kinds of names; what a node reads does not grow with the table, also while it is written; the part and what was asked for are right after drawn faults; a system of 8 nodes before 900 workers keeps programs at home, first turns at 32 workers at most, and leaving in force.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -22,6 +22,10 @@
 	Prompt     int // tokens of a model call's prompt
 	Shared     int // of them, those that other programs share
 	Output     int // most tokens that may be generated
+	// Keepers are the IDs of workers that keep what the prompt shares with others, alike on all
+	// nodes: those that are usable come before others as long as they have room. Empty: none
+	// are agreed on.
+	Keepers []string
 	// Regions are those in which the request may be served.
 	Regions locality.Regions
 	// Warm says that no cold worker may be chosen.
@@ -130,7 +134,27 @@
 	if !r.anyFree(short, query) {
 		short = known.appendAway(short, query, spread)
 	}
-	return r.appendHome(short, known, query)
+	return r.appendHome(r.appendKeepers(short, known, query), known, query)
+}
+
+// appendKeepers appends the workers that keep what the request's prompt shares with others: those
+// of the node's zone if some are, else all.
+func (r *Registry) appendKeepers(short []*Worker, known roster, query Query) []*Worker {
+	var near, away []*Worker
+	for _, id := range query.Keepers {
+		worker, ok := r.worker(id)
+		switch {
+		case !ok || worker.service != query.Service || worker.Leaving() || slices.Contains(short, worker) || slices.Contains(query.Exclude, worker.key):
+		case worker.distance == locality.SameZone:
+			near = append(near, worker)
+		default:
+			away = append(away, worker)
+		}
+	}
+	if len(near) > 0 {
+		return append(short, near...)
+	}
+	return append(short, away...)
 }
 
 // spreadOf is what decides which workers are on a request's shortlist. Model calls
@@ -231,10 +255,15 @@
 	if now.Before(w.busyUntil) {
 		candidate.Wait += waitOfBusy
 	}
+	missing := 0
 	if query.Home != "" && w.key != query.Home {
-		candidate.Prefill = time.Duration(fresh) * time.Millisecond / prefillPerMillisecond
-		candidate.Compute = candidate.Prefill
+		missing += fresh
+	}
+	if len(query.Keepers) > 0 && w.key != query.Home && !slices.Contains(query.Keepers, w.id) {
+		missing += query.Shared
 	}
+	candidate.Prefill = time.Duration(missing) * time.Millisecond / prefillPerMillisecond
+	candidate.Compute = candidate.Prefill
 	return candidate
 }
 
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -32,6 +33,23 @@
 	return r.ID + "@" + strconv.FormatInt(r.Born.UnixMilli(), 10)
 }
 
+// IDOf is the ID of the worker that a key names an incarnation of.
+func IDOf(key string) string {
+	id, born, ok := cutLast(key, "@")
+	if _, err := strconv.ParseInt(born, 10, 64); !ok || err != nil {
+		return key
+	}
+	return id
+}
+
+func cutLast(text, separator string) (before, after string, ok bool) {
+	index := strings.LastIndex(text, separator)
+	if index < 0 {
+		return text, "", false
+	}
+	return text[:index], text[index+len(separator):], true
+}
+
 // sameProcess reports whether two entries of a worker's ID are of the same process. One that
 // does not say when it started is known by its place alone.
 func (r Record) sameProcess(other Record) bool {
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -113,6 +113,39 @@
 	return worker, ok
 }
 
+// worker is the worker of an entry.
+func (r *Registry) worker(id string) (*Worker, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.byID(id)
+}
+
+// Knows reports whether the list has an entry of an ID, as far as this node keeps it.
+func (r *Registry) Knows(id string) bool {
+	_, ok := r.worker(id)
+	return ok
+}
+
+// KnowsKey reports whether the worker of a key is on the list, as far as this node keeps it.
+func (r *Registry) KnowsKey(key string) bool {
+	_, ok := r.byKey(key)
+	return ok
+}
+
+// Len is how many workers are on the list, as far as this node keeps it.
+func (r *Registry) Len() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.workers)
+}
+
+// Count is how many workers of a service are on the list, as far as this node keeps it.
+func (r *Registry) Count(service string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.services[service].workers)
+}
+
 // byKey is the worker of a key.
 func (r *Registry) byKey(key string) (*Worker, bool) {
 	r.mutex.Lock()
--- a/internal/backend/update.go
+++ b/internal/backend/update.go
@@ -23,8 +23,15 @@
 	// Unusable: the list has one that names no worker. Nothing is sent to the worker of the
 	// entry before it any more.
 	Unusable
+	// Unkept: it is outside the part of the list that this node keeps.
+	Unkept
 )
 
+// String implements fmt.Stringer.
+func (e End) String() string {
+	return [...]string{"stays", "removed", "unusable", "unkept"}[e]
+}
+
 // lingering is how long a worker that left the list may still be used when its
 // service has no other: entries also vanish while the list's keeper is down.
 const lingering = 1500 * time.Millisecond
--- /dev/null
+++ b/internal/follow/churn.go
@@ -0,0 +1,127 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
+)
+
+// A feed tells all changes of a table to all who follow it. While many workers start or are
+// replaced that is more than the part that a follower keeps: 10,000 workers that start before 984
+// nodes are 3.4 GB of changes. Meanwhile the part is read again from time to time.
+
+const (
+	// rereadPart of the time in which the follower must be up to date may pass between two such
+	// readings, and longestReread at most.
+	rereadPart    = 3
+	longestReread = 2 * time.Second
+	// churnTimes is how many times as much the changes must be as the part: a short burst costs
+	// less by the feed.
+	churnTimes = 2
+	// countFor is how long changes are counted together.
+	countFor = time.Second
+	// outgrownTimes is how many times as long as it was read a part may become.
+	outgrownTimes = 3
+	// fewestChanges tell a rate; fewer do not.
+	fewestChanges = 32
+	// shortestChanges is the least time to which changes are related.
+	shortestChanges = 50 * time.Millisecond
+	// firstGather is the share of Gather for which the first changes after a quiet time are let
+	// gather: they tell whether many follow.
+	firstGather = 4
+)
+
+// rereadEvery is the pause between two readings of the part while the table churns.
+func (f *Follower) rereadEvery() time.Duration {
+	if f.options.Fresh <= 0 {
+		return longestReread
+	}
+	return min(f.options.Fresh/rereadPart, longestReread)
+}
+
+// judge decides by the number of changes that were just told how the table is followed.
+func (f *Follower) judge(changes int) {
+	if f.options.Part == nil {
+		return
+	}
+	now := time.Now()
+	if now.Sub(f.counted) > countFor {
+		f.changes, f.counted = 0, f.told
+	}
+	f.told = now
+	f.changes += changes
+	bound := churnTimes * partRows / f.rereadEvery().Seconds()
+	if f.changes >= fewestChanges && float64(f.changes)/max(now.Sub(f.counted), shortestChanges).Seconds() > bound {
+		f.setChurning(true)
+	}
+	if f.outgrown() {
+		f.mutex.Lock()
+		f.whole = false
+		f.mutex.Unlock()
+	}
+}
+
+// outgrown reports whether so many rows are kept that the table is to be read anew: a short one has
+// become long, or many have come into the part.
+func (f *Follower) outgrown() bool {
+	kept := f.options.Part.Kept()
+	if f.span.whole {
+		return !f.span.grown && kept > shortTable
+	}
+	return kept > outgrownTimes*(partRows+f.more)+mostAsked
+}
+
+func (f *Follower) setChurning(churning bool) {
+	if f.churning == churning {
+		return
+	}
+	f.churning = churning
+	f.options.Logger.WithField("table", f.options.Table).WithField("reread", churning).WithField("every_ms", f.rereadEvery().Milliseconds()).
+		Info("way of following the table")
+}
+
+// reread reads the part again, and goes back to the feed if little has changed meanwhile.
+func (f *Follower) reread(ctx context.Context) error {
+	if !f.whole || f.span.whole || f.names.Load() == nil {
+		if err := f.readPart(ctx); err != nil {
+			return err
+		}
+		if f.span.whole { // a short table
+			f.setChurning(false)
+		}
+		return nil
+	}
+	before := f.version
+	rows, part, version, err := f.readRows(ctx, f.span.from)
+	if err != nil {
+		return err
+	}
+	if version < before {
+		return errOlder
+	}
+	changed := 0
+	for _, row := range rows {
+		if row.Version > before {
+			changed++
+		}
+	}
+	f.takeWhole(rows, version, part)
+	f.told = time.Now()
+	f.setChurning(changed*f.tableSize(rows) > partRows*len(rows))
+	return nil
+}
+
+// tableSize estimates how long the table is.
+func (f *Follower) tableSize(rows []store.Row) int {
+	names := namesOf(rows)
+	if f.span.wrapped {
+		for index, name := range names {
+			if name < f.span.from {
+				names = names[:index] // what lies at the table's end
+				break
+			}
+		}
+	}
+	return max(len(rows), f.names.Load().Size(names))
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,10 +7,13 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/cloverwheel/cloverwheel/internal/ring"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
@@ -34,9 +37,8 @@
 type Options struct {
 	Store store.Store
 	Table string
-	// Replace takes over all rows, read when the table had a version; what is not among
-	// them was gone then.
-	Replace func(rows []store.Row, version store.Version)
+	// Replace takes over all rows that are kept.
+	Replace func(Reading)
 	// Change takes over changed rows.
 	Change func(rows []store.Row)
 	// Lost is told when the table stops and starts answering; may be nil.
@@ -49,20 +51,44 @@
 	// it bounds the calls for a table that changes all the time.
 	Gather time.Duration
 	// Heard is told whenever the table has answered, be it without news; may be nil.
-	Heard  func()
+	Heard func()
+	// Part makes the follower keep a part of a long table; nil: it keeps all rows. Change may
+	// then be called by those who ask for others, too, one at a time.
+	Part   *Part
 	Logger log.Interface
 }
 
+// Reading are the rows of a table as they were when it had a version, or a part of them. What is not
+// among them was gone then, or is not kept any more where they are a part.
+type Reading struct {
+	Rows    []store.Row
+	Version store.Version
+	Whole   bool
+}
+
 // Follower follows one table.
 type Follower struct {
 	options Options
-	version store.Version // of the newest change taken over
-	whole   bool          // the rows were read as a whole
-	lost    time.Time     // since when the table has not answered; zero if it does
+	lost    time.Time // since when the table has not answered; zero if it does
+	names   atomic.Pointer[ring.Names]
+
+	// Used by Run alone:
+	more     int       // rows by which the part has grown
+	churning bool      // the part is read again from time to time, the feed is too much
+	told     time.Time // when the feed last answered
+	changes  int       // told since counted
+	counted  time.Time
+
+	mutex      sync.Mutex      // guards what follows, and the calls of Replace and Change
+	version    store.Version   // of the newest change taken over
+	whole      bool            // the rows were read as a whole, or as much of them as is kept
+	span       span            // that is kept
+	asked      map[string]bool // rows that are kept besides
+	askedOrder []string        // the same, as they were asked for
 }
 
 // New returns a follower that knows nothing yet.
-func New(options Options) *Follower { return &Follower{options: options} }
+func New(options Options) *Follower { return &Follower{options: options, asked: map[string]bool{}} }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -76,7 +102,9 @@
 			continue
 		}
 		if errors.Is(err, store.ErrHistoryGone) {
+			f.mutex.Lock()
 			f.whole = false
+			f.mutex.Unlock()
 			continue
 		}
 		_ = wait.For(ctx, pauses.NextBackOff())
@@ -90,9 +118,25 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if !f.whole {
-		return f.readWhole(ctx)
+	switch {
+	case f.churning:
+		if err := wait.For(ctx, f.rereadEvery()); err != nil {
+			return err
+		}
+		return f.reread(ctx)
+	case !f.whole && f.options.Part != nil:
+		return f.readPart(ctx)
+	case !f.whole:
+		return f.readWhole(ctx, store.Page{More: true})
+	case f.growing():
+		return f.grow(ctx)
+	default:
+		return f.follow(ctx)
 	}
+}
+
+// follow waits for changes and takes them over.
+func (f *Follower) follow(ctx context.Context) error {
 	patience := f.watchFor()
 	if !f.lost.IsZero() {
 		patience = 0
@@ -103,63 +147,94 @@
 	if err != nil {
 		return err
 	}
-	if page.Version > f.version {
-		f.version = page.Version
-	}
-	if len(page.Rows) == 0 {
-		return nil
-	}
-	f.options.Change(page.Rows)
-	if f.options.Gather > 0 {
-		_ = wait.For(ctx, f.options.Gather+rand.N(f.options.Gather/4+1))
+	rows := f.takeChanges(page)
+	quiet := time.Since(f.told) > 2*f.options.Gather
+	f.judge(rows)
+	if rows > 0 && f.options.Gather > 0 && !f.churning {
+		gather := f.options.Gather
+		if quiet && f.options.Part != nil {
+			gather /= firstGather
+		}
+		_ = wait.For(ctx, gather+rand.N(gather/4+1))
 	}
 	return nil
 }
 
+// takeChanges takes over what has changed. It returns how many rows have, whether they are kept or
+// not.
+func (f *Follower) takeChanges(page store.Page) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.version = max(f.version, page.Version)
+	if rows := f.kept(page.Rows); len(rows) > 0 {
+		f.options.Change(rows)
+	}
+	return len(page.Rows)
+}
+
 // watchFor is how long one call waits for a change.
 func (f *Follower) watchFor() time.Duration {
 	return max(shortestWatch, f.options.Fresh-answerWait-reconnectTime)
 }
 
-// readWhole reads all pages, and takes each over as it comes. Changes after the
-// first page are followed next, so a row that changed between two pages ends up
+// errOlder is the table's answer with a state that is older than what is known.
+var errOlder = errors.New("the table answered with an older state; reading it again")
+
+// readWhole reads all pages behind one that was read, if it was, and takes each over as it comes.
+// Changes after the first page are followed next, so a row that changed between two pages ends up
 // right.
-func (f *Follower) readWhole(ctx context.Context) error {
-	var rows []store.Row
-	var first store.Version
-	for from := ""; ; {
-		page, err := f.readPage(ctx, from)
+func (f *Follower) readWhole(ctx context.Context, page store.Page) error {
+	rows, first, from := page.Rows, page.Version, ""
+	for page.More {
+		f.takePage(page.Rows)
+		if len(rows) > 0 {
+			from = rows[len(rows)-1].Name
+		}
+		next, err := f.readPage(ctx, from, "", 0)
 		if err != nil {
 			return err
 		}
 		if first == 0 {
-			first = page.Version
+			first = next.Version
 		}
 		if first < f.version {
-			return errors.New("the table answered with an older state; reading it again")
-		}
-		if len(rows) > 0 && len(page.Rows) > 0 && page.Rows[0].Name == from {
-			page.Rows = page.Rows[1:] // a page begins where the one before ended
+			return errOlder
 		}
-		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			break
-		}
-		f.options.Change(page.Rows)
-		from = rows[len(rows)-1].Name
+		next.Rows = afterFirst(next.Rows, from) // a page begins where the one before ended
+		next.More = next.More && len(next.Rows) > 0
+		rows = append(rows, next.Rows...)
+		page = next
 	}
-	f.version, f.whole = first, true
-	f.options.Replace(rows, first)
+	f.takeWhole(rows, first, span{whole: true})
 	return nil
 }
 
+// takePage takes over a part of the rows.
+func (f *Follower) takePage(rows []store.Row) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(rows) > 0 {
+		f.options.Change(rows)
+	}
+}
+
+// takeWhole takes over all rows of the part that is kept, as they were when the table had a
+// version.
+func (f *Follower) takeWhole(rows []store.Row, version store.Version, part span) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.version, f.whole, f.span = version, true, part
+	f.asked, f.askedOrder = map[string]bool{}, nil
+	f.options.Replace(Reading{Rows: rows, Version: version, Whole: part.whole})
+}
+
 // readPage reads one page. While the table refuses, as it does when all nodes
 // start at once, it comes back to the same page.
-func (f *Follower) readPage(ctx context.Context, from string) (store.Page, error) {
+func (f *Follower) readPage(ctx context.Context, from, to string, limit int) (store.Page, error) {
 	pauses := wait.NewBackoff(firstPause, longestPause)
 	for try := 1; ; try++ {
 		limited, cancel := context.WithTimeout(ctx, answerWait)
-		page, err := f.options.Store.Range(limited, f.options.Table, "", from, "", 0)
+		page, err := f.options.Store.Range(limited, f.options.Table, "", from, to, limit)
 		cancel()
 		if err == nil || try == pageTries || !errors.Is(err, store.ErrNotDone) {
 			return page, err
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -23,11 +23,11 @@
 	rows  map[string]string
 }
 
-func (p *picture) replace(rows []store.Row, _ store.Version) {
+func (p *picture) replace(read Reading) {
 	p.mutex.Lock()
 	p.rows = map[string]string{}
 	p.mutex.Unlock()
-	p.change(rows)
+	p.change(read.Rows)
 }
 
 func (p *picture) change(rows []store.Row) {
@@ -189,7 +189,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			nothing := func([]store.Row) {}
-			nothingWhole := func([]store.Row, store.Version) {}
+			nothingWhole := func(Reading) {}
 			follower := New(Options{
 				Store: table, Table: "t", Replace: nothingWhole, Change: nothing, Fresh: fresh,
 				Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
--- /dev/null
+++ b/internal/follow/part_test.go
@@ -0,0 +1,308 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
+)
+
+// countingStore counts the rows that were read.
+type countingStore struct {
+	*storetest.Table
+	mutex sync.Mutex
+	rows  int
+}
+
+func (s *countingStore) count(page store.Page) store.Page {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.rows += len(page.Rows)
+	return page
+}
+
+func (s *countingStore) read() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.rows
+}
+
+func (s *countingStore) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
+	page, err := s.Table.Range(ctx, table, part, from, to, limit)
+	return s.count(page), err
+}
+
+func (s *countingStore) Watch(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Page, error) {
+	page, err := s.Table.Watch(ctx, table, after, wait)
+	return s.count(page), err
+}
+
+func workerName(index int) string {
+	return fmt.Sprintf("i-%010x", xxhash.Sum64String(fmt.Sprint(index))>>24)
+}
+
+// longTable has so many rows.
+func longTable(t *testing.T, rows int) *countingStore {
+	table := &countingStore{Table: storetest.New()}
+	for index := range rows {
+		put(t, table.Table, workerName(index), "1")
+	}
+	return table
+}
+
+// followPart follows a part of a table by the text given, as long as enough says so.
+func followPart(ctx context.Context, table store.Store, text string, enough func(*picture) bool) (*picture, *Follower) {
+	p := &picture{rows: map[string]string{}}
+	if enough == nil {
+		enough = func(*picture) bool { return true }
+	}
+	follower := New(Options{
+		Store: table, Table: "t", Replace: p.replace, Change: p.change,
+		Part:   &Part{Text: text, Kept: p.size, Enough: func() bool { return enough(p) }},
+		Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
+	})
+	go follower.Run(ctx)
+	return p, follower
+}
+
+func (p *picture) size() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.rows)
+}
+
+func (p *picture) all() map[string]string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return maps.Clone(p.rows)
+}
+
+func (f *Follower) contains(name string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.span.contains(name)
+}
+
+// runPart plays a test before a table of so many rows.
+func runPart(t *testing.T, rows int, test func(ctx context.Context, table *countingStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		table := longTable(t, rows)
+		ctx, cancel := context.WithCancel(t.Context())
+		test(ctx, table)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestShortTablesAreKeptWhole(t *testing.T) {
+	for _, rows := range []int{0, 1, 12, 63, 64, 65, 300, 400} {
+		runPart(t, rows, func(ctx context.Context, table *countingStore) {
+			p, follower := followPart(ctx, table, "node", nil)
+			time.Sleep(time.Second)
+			require.Equal(t, rows, p.size())
+			require.True(t, follower.Whole())
+			require.LessOrEqual(t, table.read(), rows+1)
+		})
+	}
+}
+
+// TestLongTablesAreKeptInPart: what a node reads at its start does not grow with the table, and all
+// nodes together know all of it.
+func TestLongTablesAreKeptInPart(t *testing.T) {
+	const nodes = 300
+	for _, rows := range []int{2500, 5000} {
+		runPart(t, rows, func(ctx context.Context, table *countingStore) {
+			known := map[string]int{}
+			for node := range nodes {
+				p, follower := followPart(ctx, table, fmt.Sprint("node-", node), nil)
+				time.Sleep(100 * time.Millisecond)
+				require.InDelta(t, partRows, p.size(), 1)
+				require.False(t, follower.Whole())
+				for name := range p.all() {
+					known[name]++
+				}
+			}
+			require.LessOrEqual(t, table.read(), nodes*(sampleRows+partRows+1))
+			require.Greater(t, len(known), rows*95/100)
+			for name, count := range known {
+				require.LessOrEqual(t, count, 6*nodes*partRows/rows, name)
+			}
+		})
+	}
+}
+
+// TestPartOfATableThatIsBeingWritten: what a node reads while thousands of workers start does not
+// grow with them, and in the end it knows its part as it is.
+func TestPartOfATableThatIsBeingWritten(t *testing.T) {
+	const rows, over = 4000, 6 * time.Second
+	runPart(t, 0, func(ctx context.Context, table *countingStore) {
+		p, follower := followPart(ctx, table, "node", nil)
+		for index := range rows {
+			put(t, table.Table, workerName(index), "1")
+			time.Sleep(over / rows)
+		}
+		time.Sleep(10 * time.Second)
+		require.False(t, follower.Whole())
+		require.GreaterOrEqual(t, p.size(), partRows/2)
+		require.LessOrEqual(t, p.size(), 2*partRows)
+		require.LessOrEqual(t, table.read(), 1200)
+		for name, value := range wholeTable(ctx, t, table) {
+			if follower.contains(name) {
+				require.Equal(t, value, p.get(name))
+			}
+		}
+		before := table.read()
+		put(t, table.Table, workerName(7), "2")
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, table.read(), before+1, "the feed is followed again")
+	})
+}
+
+// TestWorkersThatLeaveWhileManyAreReplaced are known to leave in time.
+func TestWorkersThatLeaveWhileManyAreReplaced(t *testing.T) {
+	runPart(t, 3000, func(ctx context.Context, table *countingStore) {
+		p, follower := followPart(ctx, table, "node", nil)
+		time.Sleep(time.Second)
+		for round := range 40 {
+			for index := range 60 {
+				number := round*60 + index
+				remove(t, table.Table, workerName(number))
+				put(t, table.Table, workerName(3000+number), "1")
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		for name := range p.all() {
+			put(t, table.Table, name, "leaves")
+			time.Sleep(longestReread + 100*time.Millisecond)
+			require.Equal(t, "leaves", p.get(name))
+			break
+		}
+		require.False(t, follower.Whole())
+	})
+}
+
+func TestPartGrowsUntilItIsEnough(t *testing.T) {
+	runPart(t, 1500, func(ctx context.Context, table *countingStore) {
+		p, follower := followPart(ctx, table, "node", func(p *picture) bool { return p.size() >= 900 })
+		time.Sleep(time.Minute)
+		require.GreaterOrEqual(t, p.size(), 900)
+		require.Less(t, p.size(), 900+partRows)
+		require.False(t, follower.Whole())
+	})
+	runPart(t, 1500, func(ctx context.Context, table *countingStore) {
+		p, follower := followPart(ctx, table, "node", func(*picture) bool { return false })
+		time.Sleep(time.Minute)
+		require.Equal(t, 1500, p.size())
+		require.True(t, follower.Whole())
+		require.LessOrEqual(t, table.read(), 1500+sampleRows+20)
+	})
+}
+
+// TestAllAskForTheSame: processes that ask by the same text get the same rows, which are kept.
+func TestAllAskForTheSame(t *testing.T) {
+	runPart(t, 3000, func(ctx context.Context, table *countingStore) {
+		var names []string
+		for node := range 5 {
+			p, follower := followPart(ctx, table, fmt.Sprint("node-", node), nil)
+			time.Sleep(time.Second)
+			rows, err := follower.AskAt(ctx, "part", 32)
+			require.NoError(t, err)
+			var got []string
+			for _, row := range rows {
+				got = append(got, row.Name)
+				require.Equal(t, "1", p.get(row.Name))
+			}
+			require.Len(t, got, 32)
+			if names == nil {
+				names = got
+			}
+			require.Equal(t, names, got)
+			put(t, table.Table, got[3], "2")
+			remove(t, table.Table, got[4])
+			time.Sleep(time.Second)
+			require.Equal(t, "2", p.get(got[3]), "asked rows are followed")
+			require.Empty(t, p.get(got[4]))
+			put(t, table.Table, got[3], "1")
+			put(t, table.Table, got[4], "1")
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// TestPartStaysRight: whatever the table does, a part has the rows of its place as they are, and
+// those that were asked for, once the table has answered for a while.
+func TestPartStaysRight(t *testing.T) {
+	for seed := range uint64(12) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		runPart(t, 1200, func(ctx context.Context, table *countingStore) {
+			p, follower := followPart(ctx, table, "node", func(p *picture) bool { return p.size() >= 150 })
+			var mutex sync.Mutex
+			faults := rand.New(rand.NewPCG(seed, 4))
+			table.SetFault(func(string, bool) storetest.Fault {
+				mutex.Lock()
+				defer mutex.Unlock()
+				return storetest.Fault(faults.IntN(int(storetest.Applied) + 1))
+			})
+			asked := map[string]bool{}
+			for range 300 {
+				name := workerName(random.IntN(1600))
+				switch random.IntN(8) {
+				case 0:
+					table.Forget()
+				case 1, 2:
+					_ = table.Operate(store.Transaction{Remove: []store.Key{{Table: "t", Name: name}}})
+				case 3:
+					limited, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+					if rows, err := follower.Ask(limited, name, name+"\x00", 1); err == nil && len(rows) == 1 {
+						asked[name] = true
+					}
+					cancel()
+				default:
+					_ = table.Operate(store.Transaction{Put: []store.Row{{Key: store.Key{Table: "t", Name: name}, Value: []byte(fmt.Sprint(random.IntN(9)))}}})
+				}
+				time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
+			}
+			table.SetFault(nil)
+			time.Sleep(10 * time.Second)
+			page := wholeTable(ctx, t, table)
+			require.GreaterOrEqual(t, p.size(), 150)
+			for name, value := range p.all() {
+				require.Equal(t, page[name], value, "seed %d", seed)
+			}
+			for name, value := range page {
+				if follower.contains(name) {
+					require.Equal(t, value, p.get(name), "seed %d: %s belongs to the part", seed, name)
+				}
+			}
+		})
+	}
+}
+
+// wholeTable are the rows of a table.
+func wholeTable(ctx context.Context, t *testing.T, table *countingStore) map[string]string {
+	all := map[string]string{}
+	for from := ""; ; {
+		page, err := table.Range(ctx, "t", "", from, "", 0)
+		require.NoError(t, err)
+		for _, row := range page.Rows {
+			all[row.Name] = string(row.Value)
+			from = strings.Clone(row.Name)
+		}
+		if !page.More {
+			return all
+		}
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -34,6 +34,8 @@
 	Limits Limits
 	// Allowance lends requests to cold workers; nil: they get none.
 	Allowance Allowance
+	// Finder finds workers that this node does not keep; nil: it keeps all.
+	Finder Finder
 	// Prober asks workers whether they are warm where nothing else tells; nil: nobody does.
 	Prober Prober
 	// Isolated reports whether this node reaches neither the table nor nodes elsewhere;
@@ -103,6 +105,7 @@
 	excluded  []string          // workers that are not asked (again)
 	attempts  attempts          // workers that may have run the request
 	asked     []*backend.Worker // the same
+	keepers   []string          // IDs of workers that keep what its prompt shares with others
 	sends     int
 	tried     []string // what became of each send, for the log
 	declines  int
@@ -212,6 +215,7 @@
 		SameObject: x.request.Object != "",
 		Prompt:     x.request.Prompt,
 		Shared:     x.request.Shared,
+		Keepers:    x.keepers,
 		Output:     x.request.Output,
 		Regions:    x.regions(),
 		Warm:       x.coldAsks >= maxColdAsks,
@@ -220,6 +224,9 @@
 }
 
 func (x *exchange) noWorker(err error) *fault.Error {
+	if x.options.Finder != nil {
+		x.options.Finder.NoteShort()
+	}
 	refusal := fault.From(err)
 	if x.declines > 0 {
 		refusal = fault.Newf(fault.Overloaded, "come back after the time given", "all workers of service %q are full", x.service)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -32,9 +32,11 @@
 	Output   int // most tokens that this turn generates
 	Prompt   int // tokens of its prompt
 	Shared   int // of them, those that other programs share
-	Object   string
-	Continue string // turn that this one goes on from; empty at the start
-	Resume   string // last event that the client has; empty at the start
+	// SharedPart names what they share; empty: nothing.
+	SharedPart string
+	Object     string
+	Continue   string // turn that this one goes on from; empty at the start
+	Resume     string // last event that the client has; empty at the start
 }
 
 // Call is what a worker is sent.
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -39,6 +39,7 @@
 	if reservation != nil && x.home == "" {
 		x.home = reservation.Home
 	}
+	x.findWorkers(ctx)
 	x.service = x.serviceOfTurn()
 	perEvent := configuration.Services[x.service].TokensPerEvent
 	refusal = x.admit(ctx)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -131,6 +132,8 @@
 	Tenants *tenant.Registry
 	hosts   map[string][]Route
 	routes  int
+	// targeted are the services that routes lead to.
+	targeted []string
 }
 
 // maxFirstDraw bounds where a route's draws begin; far beyond, floating-point
@@ -155,10 +158,20 @@
 		route.drawn = new(atomic.Uint64)
 		route.drawn.Store(rand.Uint64N(maxFirstDraw)) // nodes do not draw in step
 		configuration.hosts[host] = append(configuration.hosts[host], route)
+		configuration.target(route.Targets)
 	}
 	return configuration
 }
 
+// target notes the services that a route leads to.
+func (c *Configuration) target(targets []Target) {
+	for _, target := range targets {
+		if target.Weight > 0 && !slices.Contains(c.targeted, target.Service) {
+			c.targeted = append(c.targeted, target.Service)
+		}
+	}
+}
+
 // WithTenants sets who may send requests, before the configuration is in force.
 func (c *Configuration) WithTenants(tenants *tenant.Registry) *Configuration {
 	c.Tenants = tenants
@@ -168,6 +181,9 @@
 // Len is the number of routes.
 func (c *Configuration) Len() int { return c.routes }
 
+// Targeted lists the services that routes lead to.
+func (c *Configuration) Targeted() []string { return c.targeted }
+
 // Meters reports whether cold workers of some service get less than others.
 func (c *Configuration) Meters() bool {
 	for _, service := range c.Services {
--- a/internal/server/evacuations.go
+++ b/internal/server/evacuations.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/cloverwheel/cloverwheel/internal/evacuation"
+	"github.com/cloverwheel/cloverwheel/internal/follow"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 )
 
@@ -31,9 +32,9 @@
 
 // replaceOperator takes over all of the operator's rows: a zone without a row there is not
 // evacuated any more.
-func (s *Server) replaceOperator(rows []store.Row, version store.Version) {
-	s.board.Whole(version, s.words(rows))
-	s.takeConfigurations(rows)
+func (s *Server) replaceOperator(read follow.Reading) {
+	s.board.Whole(read.Version, s.words(read.Rows))
+	s.takeConfigurations(read.Rows)
 }
 
 // changeOperator takes over changed rows of the operator's. A configuration that comes in a
--- a/internal/server/evacuations_test.go
+++ b/internal/server/evacuations_test.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverwheel/cloverwheel/internal/follow"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 	"github.com/cloverwheel/cloverwheel/internal/store/storetest"
@@ -29,7 +30,7 @@
 	})
 	s.changeOperator([]store.Row{configuration})
 	require.Nil(t, s.forwarder.Configuration())
-	s.replaceOperator([]store.Row{configuration, evacuated}, 5)
+	s.replaceOperator(follow.Reading{Rows: []store.Row{configuration, evacuated}, Version: 5, Whole: true})
 	require.NotNil(t, s.forwarder.Configuration())
 	require.True(t, s.Evacuated("a"))
 	gone := row(evacuated.Name, 6)
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -35,6 +35,7 @@
 	evacuationRevision *prometheus.GaugeVec   // by zone
 	silent             *prometheus.CounterVec // by kind of connection
 	grants             *prometheus.CounterVec // by outcome
+	found              *prometheus.CounterVec // by what was asked for and what came of it
 
 	tableCalls *prometheus.CounterVec // by call and table
 	tableBytes *prometheus.CounterVec // by what connections carry, and direction
@@ -66,7 +67,8 @@
 	m.coldAnswers = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "cold_answers_total", Help: "Questions for a request to a cold worker by what came of them."}, []string{"outcome"})
 	m.silent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "silent_connections_total", Help: "Connections that were given up because they fell silent, by kind."}, []string{"kind"})
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "grants_total", Help: "Requests for a part of a program's budget that this node answered as the owner, by what came of them."}, []string{"outcome"})
-	registry.MustRegister(m.limitAnswers, m.coldAnswers, m.silent, m.grants, m.ways, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
+	m.found = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "list_questions_total", Help: "Questions to the list of workers for some that this node does not keep, by what was asked for and what came of it."}, []string{"found"})
+	registry.MustRegister(m.found, m.limitAnswers, m.coldAnswers, m.silent, m.grants, m.ways, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
 	m.Relayed = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
 	m.ForeignEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "foreign_worker_entries_total", Help: "Entries of the list of workers that appeared or changed and name no worker."})
 	registry.MustRegister(m.Dials, m.Looks, m.Relayed, m.ForeignEntries, m.tableCalls, m.tableBytes)
@@ -78,6 +80,9 @@
 	m.limitAnswers.WithLabelValues(string(outcome)).Inc()
 }
 
+// Found counts a question for workers that this node does not keep.
+func (m *Metrics) Found(found string) { m.found.WithLabelValues(found).Inc() }
+
 // WayOf tells what a round trip to a zone is taken to last.
 func (m *Metrics) WayOf(zone string, roundTrip time.Duration) {
 	m.ways.WithLabelValues(zone).Set(roundTrip.Seconds())
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/follow"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 )
@@ -49,19 +50,26 @@
 	return next.Tenants.Follow(present.Tenants, int64(next.Version))
 }
 
-// replaceWorkers takes over the whole list: who is not on it is gone.
-func (s *Server) replaceWorkers(rows []store.Row, _ store.Version) {
-	listed := make(map[string]bool, len(rows))
-	for _, row := range rows {
+// replaceWorkers takes over the whole list, or the part of it that is kept: who is not on it is gone,
+// or not kept any more.
+func (s *Server) replaceWorkers(read follow.Reading) {
+	listed := make(map[string]bool, len(read.Rows))
+	for _, row := range read.Rows {
 		listed[row.Name] = true
 	}
+	end := backend.Unkept
+	if read.Whole {
+		end = backend.Removed
+	}
+	var updates []backend.Update
 	for _, id := range s.workers.IDs() {
 		if !listed[id] {
-			rows = append(rows, store.Row{Key: store.Key{Name: id}, Gone: true})
+			updates = append(updates, backend.Update{Record: backend.Record{ID: id}, End: end})
 		}
 	}
 	s.foreign.keepOnly(listed)
-	s.changeWorkers(rows)
+	s.applyWorkers(updates)
+	s.changeWorkers(read.Rows)
 	s.listed.Store(true) // also if there is none
 }
 
@@ -77,6 +85,10 @@
 			updates = append(updates, update)
 		}
 	}
+	s.applyWorkers(updates)
+}
+
+func (s *Server) applyWorkers(updates []backend.Update) {
 	for index, news := range s.workers.Apply(updates) {
 		if news {
 			s.logWorker(updates[index])
@@ -110,7 +122,7 @@
 func (s *Server) logWorker(update backend.Update) {
 	entry := s.options.Logger.WithField("worker", update.Record.Key())
 	if update.End != backend.Stays {
-		entry.Info("worker gone")
+		entry.WithField("end", update.End.String()).Info("worker gone")
 		return
 	}
 	record := update.Record
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -105,8 +105,10 @@
 	board     *evacuation.Board
 	draining  atomic.Bool
 	isolated  atomic.Bool
-	listed    atomic.Bool    // the list of workers is known
-	foreign   foreignEntries // used by the follower of the list alone
+	listed    atomic.Bool      // the list of workers is known
+	foreign   foreignEntries   // guarded by the follower of the list, which makes one call at a time
+	list      *follow.Follower // of workers
+	finder    *finder
 	sweeper   *sweep.Sweeper
 	budgets   *budget.Book
 	knowledge *knowledge
@@ -141,6 +143,7 @@
 	workers = newWorkers(options, knowledge)
 	peers := newPeers(options)
 	core := newCore(options, gate, peers, knowledge)
+	finder := &finder{workers: workers, gate: gate, keepers: map[string]keepers{}, count: options.Metrics.Found}
 	var s *Server
 	s = &Server{
 		options:   options,
@@ -152,6 +155,7 @@
 		programs:  core.programs,
 		peers:     peers,
 		foreign:   foreignEntries{},
+		finder:    finder,
 		clients:   newClients(options.Settings.Descriptors),
 		drain:     make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
@@ -170,12 +174,15 @@
 			Limits:     core.limits,
 			Isolated:   func() bool { return s.IsIsolated() },
 			Allowance:  core.allowance,
+			Finder:     finder,
 			Prober:     options.Prober,
 			Metrics:    options.Metrics.Requests,
 			Logger:     options.Logger,
 		}),
 	}
 	knowledge.attach(s, core)
+	s.list = s.newList()
+	finder.list, finder.services = s.list, s.targeted
 	return s
 }
 
@@ -335,15 +342,30 @@
 			Fresh:   s.options.Settings.operatorFresh(),
 			Logger:  s.options.Logger,
 		}),
-		follow.New(follow.Options{
-			Store:   s.options.Store,
-			Table:   s.options.Records.WorkersTable,
-			Replace: s.replaceWorkers,
-			Change:  s.changeWorkers,
-			Fresh:   s.options.Settings.Fresh,
-			Gather:  gatherWorkers,
-			Heard:   s.workers.Heard,
-			Logger:  s.options.Logger,
-		}),
+		s.list,
+	}
+}
+
+// newList follows the list of workers.
+func (s *Server) newList() *follow.Follower {
+	return follow.New(follow.Options{
+		Store:   s.options.Store,
+		Table:   s.options.Records.WorkersTable,
+		Replace: s.replaceWorkers,
+		Change:  s.changeWorkers,
+		Fresh:   s.options.Settings.Fresh,
+		Gather:  gatherWorkers,
+		Heard:   s.workers.Heard,
+		Part:    &follow.Part{Text: s.options.Settings.Node, Kept: s.workers.Len, Enough: s.finder.enough},
+		Logger:  s.options.Logger,
+	})
+}
+
+// targeted are the services that the configuration in force leads to; nil if none is known.
+func (s *Server) targeted() []string {
+	configuration := s.forwarder.Configuration()
+	if configuration == nil {
+		return nil
 	}
+	return configuration.Targeted()
 }
