Builds of two versions run side by side

Cause: peer.ProtocolVersion had to be equal on both sides, or every message between nodes was refused: one change of it would cut a fleet in two in mid-roll; nothing held rows and messages of builds in use. Change: a build speaks a range of versions; answerers tell theirs where it is another, callers agree on the newest common one and remember it by address.

--- /dev/null
+++ b/internal/budget/golden_test.go
@@ -0,0 +1,49 @@
+package budget
+
+import (
+	"bytes"
+	"encoding/gob"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
+)
+
+// goldenRow is an account as builds have written it that are in use.
+var goldenRow = row{Drawn: 700, Holders: map[string]holding{"p1": {Sequence: 9, Address: "10.0.0.1:7380"}}, Newest: "p1", Home: "i-1@1700000000000"}
+
+const goldenFile = "testdata/account-1.row"
+
+// TestRowsOfBuildsInUseAreRead: nodes of two builds run side by side, and rows outlast both.
+func TestRowsOfBuildsInUseAreRead(t *testing.T) {
+	value, err := os.ReadFile(goldenFile)
+	require.NoError(t, err)
+	read, err := decode(store.Row{Value: value, Version: 1})
+	require.NoError(t, err)
+	require.Equal(t, goldenRow, read)
+}
+
+// TestRowsOfALaterBuildAreRead: it may have added a field.
+func TestRowsOfALaterBuildAreRead(t *testing.T) {
+	type laterHolding struct {
+		holding
+		Sequence uint64
+		Address  string
+		Added    []string
+	}
+	later := struct {
+		Drawn   int
+		Holders map[string]laterHolding
+		Newest  string
+		Home    string
+		Added   map[string]int
+	}{Drawn: 700, Holders: map[string]laterHolding{"p1": {Sequence: 9, Address: "10.0.0.1:7380", Added: []string{"x"}}}, Newest: "p1", Home: "i-1@1700000000000", Added: map[string]int{"x": 1}}
+	var encoded bytes.Buffer
+	require.NoError(t, gob.NewEncoder(&encoded).Encode(later))
+	read, err := decode(store.Row{Value: store.WithExpiry(time.Now(), encoded.Bytes()), Version: 1})
+	require.NoError(t, err)
+	require.Equal(t, goldenRow, read)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -20,9 +20,6 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 )
 
-// ProtocolVersion must be equal on both sides of a call.
-const ProtocolVersion = "1"
-
 // Headers of the peer protocol, in canonical form.
 const (
 	headerKey      = "X-Cloverwheel-Key"
@@ -57,13 +54,14 @@
 
 // HTTPTransport calls other nodes over HTTP/2.
 type HTTPTransport struct {
-	options Options
-	scheme  string
-	lines   sync.Map // Address → *line
-	metrics *metrics
-	calls   atomic.Int64
-	streams atomic.Int64
-	answers sync.Map // method → hash of its last response's schema, for headerAnswer
+	options  Options
+	scheme   string
+	lines    sync.Map // Address → *line
+	metrics  *metrics
+	calls    atomic.Int64
+	streams  atomic.Int64
+	versions sync.Map // Address → the version in which it is called, where that was agreed
+	answers  sync.Map // method → hash of its last response's schema, for headerAnswer
 }
 
 // NewHTTPTransport returns a transport that opens connections as needed.
@@ -237,6 +235,10 @@
 		_ = response.Body.Close()
 		response, err = t.post(ctx, to, path, method, request)
 	}
+	if err == nil && t.agree(to, response) && response.StatusCode == http.StatusUpgradeRequired {
+		_ = response.Body.Close() // refused before it was read
+		response, err = t.post(ctx, to, path, method, request)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -269,7 +271,7 @@
 
 func (t *HTTPTransport) newRequest(ctx context.Context, to Address, path string, payload []byte, body *requestBody) *http.Request {
 	header := make(http.Header, 4)
-	header[headerVersion] = []string{ProtocolVersion}
+	header[headerVersion] = []string{strconv.Itoa(t.agreed(to))}
 	if key := t.options.Keys.own(); key != "" {
 		header[headerKey] = []string{key}
 	}
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -44,6 +44,8 @@
 	IdleTimeout time.Duration // after which an unused connection is closed
 	QuietTime   time.Duration // without a byte while calls wait, before connections are doubted; 0: DialTimeout
 
+	Versions Versions // that this side speaks; zero: Spoken
+
 	Guard silence.Guard // finds connections that have fallen silent
 
 	Log        log.Interface         // nil discards
@@ -64,6 +66,9 @@
 	if o.Log == nil {
 		o.Log = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	}
+	if o.Versions == (Versions{}) {
+		o.Versions = Spoken
+	}
 	if o.Keys == nil {
 		o.Keys = NewKeys()
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -100,9 +100,7 @@
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
-		if version := firstValue(r.Header, headerVersion); version != ProtocolVersion {
-			writeFault(w, http.StatusUpgradeRequired, fault.Newf(fault.Invalid, "run the same version on all nodes",
-				"peer protocol version %q meets version %q", version, ProtocolVersion))
+		if s.refusesVersion(w, r) {
 			return
 		}
 		next(w, r)
--- /dev/null
+++ b/internal/server/golden_test.go
@@ -0,0 +1,70 @@
+package server
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/directory"
+	"github.com/cloverwheel/cloverwheel/internal/evacuation"
+	"github.com/cloverwheel/cloverwheel/internal/freshness"
+	"github.com/cloverwheel/cloverwheel/internal/peer"
+	"github.com/cloverwheel/cloverwheel/internal/store"
+)
+
+// goldenMessages are messages between nodes as builds have written them that are in use. A message
+// that changes gets another file besides, it does not change its own.
+func goldenMessages() map[string]any {
+	holder := budget.Holder{Process: "p1", Address: "10.0.0.1:7380"}
+	row := store.Row{Key: store.Key{Table: "op", Part: "", Name: "config"}, Value: []byte("{}"), Version: 7}
+	return map[string]any{
+		methodLocate + "-request-1":  directory.Request{Process: "p2", Program: "a", From: holder, Spent: 3, Returned: true, Slot: 4},
+		methodLocate + "-answer-1":   directory.Answer{Owner: true, Located: budget.Located{Holders: []budget.Holder{holder}, Spent: 3, SpentAgo: time.Second}},
+		methodGrant + "-request-1":   directory.GrantRequest{Process: "p2", Program: "a", Tokens: 100, From: holder, Number: 9},
+		methodProof + "-request-1":   proofRequest{Revision: 7},
+		methodProof + "-answer-1":    proofAnswer{Proof: freshness.Proof{Revision: 7, Age: time.Second}, Row: row, Evacuations: evacuation.Snapshot{}},
+		methodCommit + "-request-1":  commitRequest{Process: "p2", Transaction: store.Transaction{Conditions: []store.Condition{{Key: row.Key, Version: 7}}, Put: []store.Row{row}, Remove: []store.Key{row.Key}}},
+		methodHandOver + "-answer-1": budget.HandOverAnswer{},
+	}
+}
+
+func goldenMessageFile(name string) string { return filepath.Join("testdata", "messages", name) }
+
+// TestMessagesOfBuildsInUseAreRead: nodes of two builds run side by side.
+func TestMessagesOfBuildsInUseAreRead(t *testing.T) {
+	for name, want := range goldenMessages() {
+		payload, err := os.ReadFile(goldenMessageFile(name))
+		require.NoError(t, err)
+		read := reflect.New(reflect.TypeOf(want))
+		require.NoError(t, peer.Decode(payload, read.Interface()), name)
+		require.Equal(t, want, read.Elem().Interface(), name)
+	}
+}
+
+// TestMessagesOfALaterBuildAreRead: it may have added a field, at any depth.
+func TestMessagesOfALaterBuildAreRead(t *testing.T) {
+	type laterHolder struct {
+		Process string
+		Address string
+		Added   int
+	}
+	later := struct {
+		Process  string
+		Program  string
+		From     laterHolder
+		Spent    int
+		Returned bool
+		Slot     int
+		Added    map[string][]byte
+	}{"p2", "a", laterHolder{"p1", "10.0.0.1:7380", 5}, 3, true, 4, map[string][]byte{"x": {1}}}
+	payload, err := peer.Encode(later)
+	require.NoError(t, err)
+	var read directory.Request
+	require.NoError(t, peer.Decode(payload, &read))
+	require.Equal(t, goldenMessages()[methodLocate+"-request-1"], read)
+}
