--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -34,6 +34,9 @@
 	Limits Limits
 	// Allowance lends requests to cold workers; nil: they get none.
 	Allowance Allowance
+	// Admit counts bytes that are held against the node's memory, until they are released; nil:
+	// they are not counted.
+	Admit func(bytes int64) (release func(), ok bool)
 	// Finder finds workers that this node does not keep; nil: it keeps all.
 	Finder Finder
 	// Prober asks workers whether they are warm where nothing else tells; nil: nobody does.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -82,9 +82,11 @@
 		dog.heard()
 	}
 	x.mayHaveRun(worker)
-	if answer.Length > wholeBytes {
+	release, held := x.hold(answer)
+	if !held {
 		return true, x.pass(answer, nil)
 	}
+	defer release()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes+1))
 	if err != nil {
 		return x.failed(ctx, limited, worker, err)
@@ -106,6 +108,23 @@
 	return true, x.whole(answer, body)
 }
 
+// hold reports whether an answer is read whole before it is passed on, and counts it against the
+// node's memory until it is released: clients that read a byte a second may hold as many answers as
+// there are connections. What has no room is passed on as it comes, and takes a buffer alone.
+func (x *exchange) hold(answer *Answer) (release func(), held bool) {
+	if answer.Length > wholeBytes {
+		return nil, false
+	}
+	if x.options.Admit == nil {
+		return func() {}, true
+	}
+	bytes := answer.Length
+	if bytes < 0 {
+		bytes = wholeBytes
+	}
+	return x.options.Admit(bytes)
+}
+
 // whole passes on an answer that was read whole. If it cannot be written, its client
 // is gone: there is nobody else to tell.
 func (x *exchange) whole(answer *Answer, body []byte) *fault.Error {
--- /dev/null
+++ b/internal/forward/slowclient_test.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/route"
+)
+
+// TestWorkerIsNotBlamedForASlowClient: a client takes an event only after some seconds, and the worker
+// cuts off what is not read. The worker has not failed, nobody looks for it, nothing is sent again, and the
+// client's answer does not look whole.
+func TestWorkerIsNotBlamedForASlowClient(t *testing.T) {
+	for name, change := range map[string]func(*route.Route){"resumable": resumable, "not resumable": nil} {
+		for slow, blamed := range map[time.Duration]bool{3 * time.Second: false, 0: true} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := turnRoute(change)
+					r.Timeout = time.Minute
+					f := newFixture(t, r)
+					f.reachable = true
+					f.worker("w", func(_ context.Context, call Call) (*Answer, error) {
+						cut := readerFunc(func([]byte) (int, error) { return 0, io.ErrUnexpectedEOF })
+						return answer(http.StatusOK, true, io.MultiReader(strings.NewReader(events(2)), cut)), nil
+					})
+					got := &client{begun: time.Now()}
+					got.onEvent = func() { time.Sleep(slow) }
+					request := &Request{ID: "r1", Method: http.MethodPost, Target: "/p/x", Host: "h", Path: "/p/x", Header: http.Header{}, Deadline: time.Minute}
+					f.forwarder.Serve(t.Context(), request, got)
+					require.False(t, got.ended)
+					require.True(t, got.aborted)
+					failed := countOf(f.forwarder.options.Metrics.Failures)
+					require.Equal(t, blamed, failed > 0)
+					if !blamed {
+						require.Len(t, f.sent(), 1)
+						require.Zero(t, f.looks())
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestAnswersAreHeldWithinTheMemory: what has no room is passed on as it comes, whole all the same,
+// and what was held is released.
+func TestAnswersAreHeldWithinTheMemory(t *testing.T) {
+	for name, test := range map[string]struct {
+		room   int64
+		length int64
+		held   bool
+	}{
+		"room for it":             {100, 2, true},
+		"no room":                 {1, 2, false},
+		"of unknown length":       {wholeBytes, -1, true},
+		"unknown, and no room":    {wholeBytes - 1, -1, false},
+		"longer than any is held": {1 << 30, wholeBytes + 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, plainRoute(route.Unsafe, 1))
+			held, most := int64(0), int64(0)
+			f.forwarder.options.Admit = func(bytes int64) (func(), bool) {
+				if bytes > test.room {
+					return nil, false
+				}
+				held, most = held+bytes, max(most, bytes)
+				return func() { held -= bytes }, true
+			}
+			f.worker("w", func(context.Context, Call) (*Answer, error) {
+				whole := answer(http.StatusOK, false, strings.NewReader("ok"))
+				whole.Length = test.length
+				return whole, nil
+			})
+			got := f.serve(t.Context(), nil)
+			require.Equal(t, "ok", got.body.String())
+			require.True(t, got.ended)
+			require.Equal(t, test.held, most > 0)
+			require.Zero(t, held)
+		})
+	}
+}
+
+// TestAnswerThatBreaksOffIsNeverWhole, be it held or passed on.
+func TestAnswerThatBreaksOffIsNeverWhole(t *testing.T) {
+	for _, room := range []bool{true, false} {
+		f := newFixture(t, plainRoute(route.Unsafe, 1))
+		f.forwarder.options.Admit = func(int64) (func(), bool) { return func() {}, room }
+		f.worker("w", func(context.Context, Call) (*Answer, error) {
+			cut := readerFunc(func([]byte) (int, error) { return 0, errors.New("cut") })
+			return answer(http.StatusOK, false, io.MultiReader(strings.NewReader("o"), cut)), nil
+		})
+		got := f.serve(t.Context(), nil)
+		require.False(t, got.ended)
+	}
+}
+
+// countOf is what a counter counts.
+func countOf(counter prometheus.Counter) float64 {
+	var metric dto.Metric
+	if err := counter.Write(&metric); err != nil {
+		return -1
+	}
+	return metric.GetCounter().GetValue()
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,6 +29,14 @@
 // errClient is a client that no longer takes what it is sent.
 var errClient = errors.New("the client left")
 
+// errSlowClient is a stream that its worker broke off after its client had not taken what came for
+// slowClient or longer: workers cut off answers that are not read for some seconds.
+var errSlowClient = errors.New("the client takes its answer too slowly, and the worker cut it off")
+
+// slowClient is how long a client must have kept the node from reading for that. Workers wait for
+// some seconds; an event is usually taken in well below a millisecond.
+const slowClient = time.Second
+
 // stream passes a worker's events on until their proper end. Where the route
 // allows it, a stream that breaks is taken up again after the last event.
 func (x *exchange) stream(ctx context.Context, perEvent int) *fault.Error {
@@ -87,6 +95,9 @@
 		return true, nil
 	case errors.Is(err, errClient):
 		return true, x.ended(ctx)
+	case errors.Is(err, errSlowClient):
+		x.noteTried(worker, "unread")
+		return true, fault.New(fault.DeadlinePassed, errSlowClient.Error(), "read faster, or send the request again if it may be repeated").WithRan(fault.RanUnknown)
 	default:
 		return x.failed(ctx, limited, worker, err)
 	}
@@ -123,12 +134,16 @@
 func (x *exchange) passEvents(worker *backend.Worker, dog *watchdog, answer *Answer, perEvent int) error {
 	reader := eventstream.NewReader(answer.Body)
 	var before time.Time
+	var took time.Duration // until the client had taken the event before
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			worker.Answered()
 			return x.start(answer)
 		}
+		if err != nil && took >= slowClient {
+			return errors.Join(errSlowClient, err)
+		}
 		if err != nil {
 			return err
 		}
@@ -136,10 +151,15 @@
 		if x.has(event) {
 			continue
 		}
-		if err := x.passEvent(answer, event); err != nil {
+		came := time.Now()
+		dog.passing.Store(true)
+		err = x.passEvent(answer, event)
+		dog.passing.Store(false)
+		if err != nil {
 			return err
 		}
 		now := time.Now()
+		took = now.Sub(came)
 		if !before.IsZero() && perEvent > 0 {
 			worker.Paced(now.Sub(before) / time.Duration(perEvent))
 		}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -68,6 +68,7 @@
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
 	begun    atomic.Bool // the answer has begun
+	passing  atomic.Bool // what the worker has sent is being passed on: nothing is read meanwhile
 
 	mutex  sync.Mutex // a look may be under way when the worker is heard
 	last   time.Time  // when the worker was last heard
@@ -136,6 +137,10 @@
 // check looks whether the worker is there, and gives it up if it is not, or has been silent for
 // long enough.
 func (w *watchdog) check(ctx context.Context) {
+	if w.passing.Load() {
+		w.timer.Reset(w.patience()) // the client is slow, the worker need not be silent
+		return
+	}
 	begun := time.Now()
 	limited, cancel := context.WithTimeout(ctx, checkTimeout)
 	err := w.worker.Pool().Reach(limited)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -174,6 +174,7 @@
 			Limits:     core.limits,
 			Isolated:   func() bool { return s.IsIsolated() },
 			Allowance:  core.allowance,
+			Admit:      func(bytes int64) (func(), bool) { return s.Admit(bytes) },
 			Finder:     finder,
 			Prober:     options.Prober,
 			Metrics:    options.Metrics.Requests,
@@ -229,7 +230,8 @@
 	return !s.SendsAway() && s.listed.Load() && s.forwarder.Configuration() != nil && s.clients.takes()
 }
 
-// Admit counts a body's bytes against the memory for bodies.
+// Admit counts the bytes of a request's body, or of an answer that is held until its client has taken
+// it, against the memory for both.
 func (s *Server) Admit(bytes int64) (release func(), ok bool) {
 	room := s.options.Settings.MemoryBytes / memoryForBodies
 	if s.inFlight.Add(bytes) > room {
