While workers start a node keeps half as long a part of their list

Change: 48 rows meanwhile, 96 once the table is calm; the part grows by half of itself; the first changes gather for a shorter time. Test: programs before 900 workers through an outage, a forgotten history and the restart of half of all workers under their ids keep their promises, three runs under the race detector.

--- a/internal/follow/churn.go
+++ b/internal/follow/churn.go
@@ -16,6 +16,9 @@
 	// readings, and longestReread at most.
 	rereadPart    = 2
 	longestReread = 3 * time.Second
+	// churnRows is how many rows the part has meanwhile: enough to serve by, and half as much to read
+	// at each time. It grows again once the table is calm.
+	churnRows = 48
 	// churnTimes is how many times as much the changes must be as the part: a short burst costs
 	// less by the feed.
 	churnTimes = 2
@@ -29,7 +32,7 @@
 	shortestChanges = 50 * time.Millisecond
 	// firstGather is the share of Gather for which the first changes after a quiet time are let
 	// gather: they tell whether many follow.
-	firstGather = 4
+	firstGather = 8
 )
 
 // rereadEvery is the pause between two readings of the part while the table churns.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -73,6 +73,7 @@
 	names   atomic.Pointer[ring.Names]
 
 	// Used by Run alone:
+	rows     int       // of the part, when it was last read
 	more     int       // rows by which the part has grown
 	churning bool      // the part is read again from time to time, the feed is too much
 	told     time.Time // when the feed last answered
@@ -224,6 +225,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.version, f.whole, f.span = version, true, part
+	f.rows = len(rows)
 	f.asked, f.askedOrder = map[string]bool{}, nil
 	f.options.Replace(Reading{Rows: rows, Version: version, Whole: part.whole})
 }
--- a/internal/follow/part.go
+++ b/internal/follow/part.go
@@ -29,9 +29,11 @@
 	sampleRows = 64
 	// shortTable is up to how many rows a table is kept whole: 600 workers are 0.2 MB.
 	shortTable = 600
-	// partRows is how many rows a part has, and by how many it grows. Spread over 10,000 workers of two services in five
+	// partRows is how many rows a part has at least, and growRows by how many it grows, or by half
+	// of itself. Spread over 10,000 workers of two services in five
 	// zones, 96 rows name 17 model workers and two others of the node's own zone.
 	partRows = 96
+	growRows = 48
 	// drawTries bounds how often a place is drawn behind which there is nothing.
 	drawTries = 16
 	// mostAsked is how many rows are kept besides the part, of those that were asked for.
@@ -133,12 +135,20 @@
 	return nil, span{}, ErrNoNames
 }
 
+// target is how many rows the part is to have.
+func (f *Follower) target() int {
+	if f.churning {
+		return churnRows + f.more
+	}
+	return partRows + f.more
+}
+
 // readRows reads as many rows as the part has, from a place on; none if nothing is behind it. version
 // is the table's before it read the first.
 func (f *Follower) readRows(ctx context.Context, place string) (rows []store.Row, part span, version store.Version, err error) {
 	part = span{from: place}
-	for from := place; !part.whole && len(rows) < partRows+f.more; {
-		page, err := f.readPage(ctx, from, part.until(), partRows+f.more-len(rows)+1)
+	for from := place; !part.whole && len(rows) < f.target(); {
+		page, err := f.readPage(ctx, from, part.until(), f.target()-len(rows)+1)
 		if err != nil {
 			return nil, span{}, 0, err
 		}
@@ -158,13 +168,13 @@
 
 // growing reports whether the part is to grow.
 func (f *Follower) growing() bool {
-	return f.options.Part != nil && f.whole && !f.span.whole && !f.options.Part.Enough()
+	return f.options.Part != nil && f.whole && !f.span.whole && (f.rows < partRows || !f.options.Part.Enough())
 }
 
 // grow reads another page. Changes of its rows after the newest that was taken over are followed.
 func (f *Follower) grow(ctx context.Context) error {
 	from := f.span.last
-	page, err := f.readPage(ctx, from, f.span.until(), partRows)
+	page, err := f.readPage(ctx, from, f.span.until(), max(growRows, f.rows/2)+1)
 	if err != nil {
 		return err
 	}
@@ -180,7 +190,8 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.span = f.span.extended(rows, more)
-	f.more += partRows
+	f.rows += len(rows)
+	f.more = max(0, f.rows-partRows)
 	f.options.Change(rows)
 }
 
