A part behind whose place nothing is left is drawn anew

Cause, by reading: where a part was read again while all entries behind its place were gone, its span became empty and grew from the list's beginning: all nodes would have kept the same workers. Test: TestPartOfATableThatIsEmptied.

--- a/internal/follow/churn.go
+++ b/internal/follow/churn.go
@@ -68,9 +68,7 @@
 		f.setChurning(true)
 	}
 	if f.outgrown() {
-		f.mutex.Lock()
-		f.whole = false
-		f.mutex.Unlock()
+		f.forgetPart()
 	}
 }
 
@@ -79,6 +77,13 @@
 // was first calm it may be one that is just being written and becomes long.
 func (f *Follower) mayChurn() bool { return !f.span.whole || !f.calmed }
 
+// forgetPart lets the table be read anew, as far as it is kept. What is known holds until then.
+func (f *Follower) forgetPart() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.whole = false
+}
+
 // outgrown reports whether so many rows are kept that the table is to be read anew: a short one has
 // become long, or many have come into the part.
 func (f *Follower) outgrown() bool {
@@ -117,6 +122,10 @@
 	if version < before {
 		return errOlder
 	}
+	if len(rows) == 0 { // nothing is left behind this place
+		f.forgetPart()
+		return nil
+	}
 	changed := 0
 	for _, row := range rows {
 		if row.Version > before {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -104,9 +104,7 @@
 			continue
 		}
 		if errors.Is(err, store.ErrHistoryGone) {
-			f.mutex.Lock()
-			f.whole = false
-			f.mutex.Unlock()
+			f.forgetPart()
 			continue
 		}
 		_ = wait.For(ctx, pauses.NextBackOff())
--- a/internal/follow/part_test.go
+++ b/internal/follow/part_test.go
@@ -171,6 +171,34 @@
 	})
 }
 
+// TestPartOfATableThatIsEmptied while it churns: once it is long again each node keeps a part of
+// its own, not its beginning.
+func TestPartOfATableThatIsEmptied(t *testing.T) {
+	runPart(t, 3000, func(ctx context.Context, table *countingStore) {
+		p, follower := followPart(ctx, table, "node", nil)
+		time.Sleep(time.Second)
+		for index := range 3000 {
+			remove(t, table.Table, workerName(index))
+			if index%40 == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		require.Zero(t, p.size())
+		for index := range 3000 {
+			put(t, table.Table, workerName(index), "1")
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Second)
+		require.False(t, follower.Whole())
+		require.GreaterOrEqual(t, p.size(), partRows/2)
+		for name := range p.all() {
+			require.True(t, follower.contains(name))
+			require.Greater(t, name, "i-08", "not the table's beginning")
+		}
+	})
+}
+
 // TestEntriesThatComeBackAreKnownAtOnce: on a list that is kept whole, however many come.
 func TestEntriesThatComeBackAreKnownAtOnce(t *testing.T) {
 	runPart(t, 300, func(ctx context.Context, table *countingStore) {
