--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -19,6 +19,19 @@
 	grep -hE '^(score on|GATE)|with a rule broken' "$out/$name-score.txt" "$out/$name-hunt.txt"
 }
 
+# fleet SITE: days of a thousand machines are played alone, one at a time, and neither scored nor hunted.
+fleet() {
+	local name day
+	name=$(basename "$1" .toml)
+	for day in quiet-1 scale-1 scale-2; do
+		"$bench" run "$sites/$1" "$day" --day-cap 2400 --why "regression: $day" >"$out/$name-$day.txt" 2>&1
+		grep -hE "^$day " "$out/$name-$day.txt"
+	done
+}
+
+fleet fleet/sokohuru-serve-fleet.toml
+regress demands/ctpc-grown.toml 8
+regress demands/samlet-laan-grown.toml 8
 regress newcomers/imirasire-bill-grown.toml 8
 regress newcomers/atlas-coop-grown.toml 8
 regress shifted/sokohuru-serve-now-grown.toml 8
