--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -34,9 +34,15 @@
 	Shared   int // of them, those that other programs share
 	// SharedPart names what they share; empty: nothing.
 	SharedPart string
-	Object     string
-	Continue   string // turn that this one goes on from; empty at the start
-	Resume     string // last event that the client has; empty at the start
+	// Timed says that Finish was given: it is how long the program may still take before its
+	// caller needs it over, 0 if that time has passed.
+	Timed    bool
+	Finish   time.Duration
+	Line     string // the line of turns within the program that it belongs to; empty: not said
+	Hint     int    // tokens that its caller guesses it will generate; 0: not said
+	Object   string
+	Continue string // turn that this one goes on from; empty at the start
+	Resume   string // last event that the client has; empty at the start
 }
 
 // Call is what a worker is sent.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -106,6 +106,8 @@
 	MaxConnections int // that each worker takes from all callers together
 	Model          bool
 	TokensPerEvent int // that one event of a stream stands for
+	Places         int // requests that each worker runs at once; 0: not said
+	Memory         int // tokens that each worker holds, of what runs and what is kept; 0: not said
 	// ColdPerSecond is how many requests a second a cold worker bears, from all nodes
 	// together; 0: cold workers bear as much as others.
 	ColdPerSecond float64
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -56,6 +56,8 @@
 	// ColdOverage, and ColdSlack besides. Both 0: nothing is judged.
 	ColdOverage float64
 	ColdSlack   float64
+	// TableWrites is how many writing calls a second the table takes from all nodes together; 0: not said.
+	TableWrites float64
 }
 
 // Records decodes the rows of the tables that are followed.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -79,6 +79,9 @@
 var (
 	// ErrNotDone means that the call had no effect and never will.
 	ErrNotDone = errors.New("the table refused the call; try again later")
+	// ErrThrottled is ErrNotDone because all nodes together call the table more often than it
+	// takes. Calls to other parts are refused likewise; a moment later one may be taken.
+	ErrThrottled = fmt.Errorf("the table takes no more calls now: %w", ErrNotDone)
 	// ErrOldConnection is in the chain of errors of calls whose connection had been sound and
 	// fell silent. It says nothing of the table: the next call goes over a new connection.
 	ErrOldConnection = errors.New("the connection to the table fell silent; try again on a new one")
