--- a/internal/httpconn/silent.go
+++ b/internal/httpconn/silent.go
@@ -108,8 +108,9 @@
 // watched is what a request's connection was when the request was sent. The connection
 // itself may carry a later one by now.
 type watched struct {
-	connection net.Conn
-	worked     bool
+	connection       net.Conn
+	worked           bool
+	acknowledgements silence.Acknowledgements
 }
 
 type watchKey struct{}
@@ -131,14 +132,13 @@
 	}
 }
 
-// Silent reports whether the connection worked before, and the peer's kernel has not yet
-// said that all that was written now has arrived there. It is false where that cannot be
-// known. Just after something was written it says nothing, for an answer is on its way.
+// Silent reports whether the connection worked before, and the peer's kernel takes longer than it
+// was seen to take to say that all that was written has arrived there. It is false where that cannot
+// be known.
 func (w *Watch) Silent() bool {
 	line := w.conn.Load()
 	if line == nil || !line.worked {
 		return false
 	}
-	waiting, known := silence.Unacknowledged(line.connection)
-	return known && waiting
+	return line.acknowledgements.Overdue(line.connection)
 }
--- a/internal/peer/line.go
+++ b/internal/peer/line.go
@@ -91,13 +91,13 @@
 	return g.heard.Load() && asked != 0 && time.Since(g.began)-time.Duration(asked) >= g.after
 }
 
-// unacknowledged reports whether the peer's kernel has not taken in what was written.
+// unacknowledged reports whether the peer's kernel takes longer to take in what was written than it
+// was seen to take.
 func (g *generation) unacknowledged() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return slices.ContainsFunc(g.open, func(c *heardConn) bool {
-		waiting, known := silence.Unacknowledged(c.Conn)
-		return known && waiting
+		return c.acknowledgements.Overdue(c.Conn)
 	})
 }
 
@@ -118,8 +118,9 @@
 // heardConn tells its generation of what is read.
 type heardConn struct {
 	net.Conn
-	generation *generation
-	counted    atomic.Bool // as given up by the kernel
+	generation       *generation
+	acknowledgements silence.Acknowledgements
+	counted          atomic.Bool // as given up by the kernel
 }
 
 // Read implements io.Reader.
--- a/internal/silence/guard.go
+++ b/internal/silence/guard.go
@@ -56,26 +56,6 @@
 // Broken reports whether an error is the kernel's word that a connection has fallen silent.
 func Broken(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
 
-// Unacknowledged reports whether bytes written to a connection wait for its peer's word
-// that they have arrived. known is false where the kernel does not tell.
-func Unacknowledged(connection net.Conn) (waiting, known bool) {
-	raw, ok := connection.(syscall.Conn)
-	if !ok {
-		return false, false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false, false
-	}
-	var bytes int
-	var failure error
-	err = control.Control(func(descriptor uintptr) { bytes, failure = unacknowledgedBytes(descriptor) })
-	if err != nil || failure != nil {
-		return false, false
-	}
-	return bytes > 0, true
-}
-
 // Listener puts the connections that it accepts under a guard's limits.
 type Listener struct {
 	net.Listener
--- a/internal/silence/socket_linux.go
+++ b/internal/silence/socket_linux.go
@@ -5,7 +5,8 @@
 	"os"
 	"syscall"
 	"time"
-	"unsafe"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is the option TCP_USER_TIMEOUT, in milliseconds; package syscall lacks it.
@@ -26,12 +27,21 @@
 	return os.NewSyscallError("setsockopt", failure)
 }
 
-// unacknowledgedBytes asks the kernel how much of what was written has not arrived yet.
-func unacknowledgedBytes(descriptor uintptr) (int, error) {
-	var bytes int32
-	_, _, failure := syscall.Syscall(syscall.SYS_IOCTL, descriptor, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&bytes)))
-	if failure != 0 {
-		return 0, os.NewSyscallError("ioctl", failure)
+// arrivalOf asks the kernel.
+func arrivalOf(descriptor uintptr) (Arrival, error) {
+	info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return Arrival{}, os.NewSyscallError("getsockopt", err)
+	}
+	bytes, err := unix.IoctlGetInt(int(descriptor), unix.TIOCOUTQ)
+	if err != nil {
+		return Arrival{}, os.NewSyscallError("ioctl", err)
 	}
-	return int(bytes), nil
+	return Arrival{
+		Waiting:      bytes > 0,
+		Acknowledged: info.Bytes_acked,
+		SinceSent:    time.Duration(info.Last_data_sent) * time.Millisecond,
+		RoundTrip:    time.Duration(info.Rtt) * time.Microsecond,
+		Variation:    time.Duration(info.Rttvar) * time.Microsecond,
+	}, nil
 }
--- a/internal/silence/socket_other.go
+++ b/internal/silence/socket_other.go
@@ -11,6 +11,6 @@
 // setUnacknowledged leaves the bound to the kernel; keep-alive probes are set all the same.
 func setUnacknowledged(*net.TCPConn, time.Duration) error { return nil }
 
-func unacknowledgedBytes(uintptr) (int, error) {
-	return 0, errors.New("this kernel does not tell what is unacknowledged; run on Linux")
+func arrivalOf(uintptr) (Arrival, error) {
+	return Arrival{}, errors.New("this kernel does not tell what is unacknowledged; run on Linux")
 }
