A turn tells which step took its time: in its line and in a histogram by step

Cause: an operator saw that turns were late, not whether the table, the room of workers, the workers or the keeping took the time. A clock of its own (internal/forward/steps.go) gives each moment of a turn to one step: admit, prepare, place, first_event, stream, keep. Clocks that are read anyway are used where there are some.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -104,6 +104,7 @@
 	body      []byte
 	out       Responder
 	begun     time.Time
+	clock     stepClock
 	client    context.Context   // ends when the client leaves
 	excluded  []string          // workers that are not asked (again)
 	attempts  attempts          // workers that may have run the request
@@ -158,6 +159,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	x.clock.enter(stepAdmit, x.begun)
 	if refusal := x.identify(); refusal != nil {
 		return refusal
 	}
--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -10,6 +10,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/route"
 )
 
 // Metrics are the counters and histograms of requests.
@@ -17,6 +18,7 @@
 	Requests   *prometheus.CounterVec // by outcome
 	Duration   *prometheus.HistogramVec
 	FirstEvent prometheus.Histogram
+	steps      stepSeconds
 	Sends      prometheus.Counter
 	Ways       *prometheus.CounterVec // sends by the route's kind, distance and, to other regions, reason
 	Declines   prometheus.Counter
@@ -49,6 +51,7 @@
 	}
 	m.TurnedAway = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_sends_turned_away_total", Help: "Sends that were not made because the worker chosen may not get the request, by why."}, []string{"verdict"})
 	m.AttemptsDropped = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_attempts_dropped_total", Help: "Workers that no longer count against a request's attempts, by what was observed."}, []string{"observed"})
+	m.steps = newStepSeconds(registry, buckets)
 	m.BeyondAttempts = counter("requests_beyond_attempts_total", "Requests that may have run at more workers than their route allows, those included that have ended.")
 	registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.Ways, m.TurnedAway, m.AttemptsDropped)
 	return m
@@ -63,7 +66,9 @@
 	if refusal != nil {
 		outcome = string(refusal.Code)
 	}
-	took := time.Since(x.begun)
+	now := time.Now()
+	took := now.Sub(x.begun)
+	x.clock.stop(now)
 	kind := "none"
 	fields := log.Fields{
 		"request": x.request.ID,
@@ -112,6 +117,10 @@
 	if x.told {
 		fields["told"] = true
 	}
+	if kind == string(route.Streaming) {
+		x.clock.addTo(fields)
+		x.options.Metrics.steps.observe(&x.clock)
+	}
 	x.noteAttempts(fields)
 	if len(x.tried) > 0 {
 		fields["tried"] = strings.Join(x.tried, ",")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,6 +40,7 @@
 // stream passes a worker's events on until their proper end. Where the route
 // allows it, a stream that breaks is taken up again after the last event.
 func (x *exchange) stream(ctx context.Context, perEvent int) *fault.Error {
+	x.clock.enter(stepPlace, time.Now())
 	for x.sends < maxSends {
 		worker, refusal := x.choose(ctx)
 		if refusal != nil {
@@ -56,6 +57,7 @@
 		if done {
 			return refusal
 		}
+		x.clock.enter(stepPlace, time.Now())
 		x.pauseBeforeResend(ctx)
 		if ctx.Err() != nil {
 			return x.ended(ctx)
@@ -76,6 +78,7 @@
 	defer worker.Begin()()
 	limited, dog := x.watch(ctx, worker, streamStall, false)
 	defer dog.stop()
+	x.clock.enter(stepFirstEvent, time.Now())
 	answer, err := x.send(limited, worker)
 	if err != nil {
 		return x.failed(ctx, limited, worker, err)
@@ -152,6 +155,7 @@
 			continue
 		}
 		came := time.Now()
+		x.clock.enter(stepStream, came)
 		dog.passing.Store(true)
 		err = x.passEvent(answer, event)
 		dog.passing.Store(false)
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -28,10 +28,12 @@
 
 // turn serves a request that is answered by a stream of events.
 func (x *exchange) turn(ctx context.Context, configuration *route.Configuration) *fault.Error {
+	x.clock.enter(stepPrepare, time.Now())
 	reservation, chain, refusal := x.prepare(ctx)
 	if refusal != nil {
 		return refusal
 	}
+	x.clock.enter(stepPlace, time.Now())
 	x.body = history.Join(chain, x.request.Body)
 	if len(chain) > 0 {
 		x.home = chain[len(chain)-1].Worker
@@ -42,6 +44,7 @@
 	x.findWorkers(ctx)
 	x.service = x.serviceOfTurn()
 	perEvent := configuration.Services[x.service].TokensPerEvent
+	x.clock.enter(stepAdmit, time.Now())
 	refusal = x.admit(ctx)
 	if refusal == nil {
 		refusal = x.stream(ctx, perEvent)
@@ -169,6 +172,7 @@
 	if !x.route.Retain {
 		return nil
 	}
+	x.clock.enter(stepKeep, time.Now())
 	turn := &history.Turn{
 		ID:     x.tenant.Scope(x.request.ID),
 		Input:  x.request.Body,
