A call that the table refuses for the number of calls is backed off, not repeated

Cause: when all nodes together call the table more often than it takes, each refused call was sent again at once: by the hedge, to the turn's other place, to the program's other shares, through another node; parts were closed as if they were down.

A refused place ends the round of places (and is asked first in the next; a place that has no turn counts once now), a refused share the round of shares. The gate takes the refusal as a sign that the table and the part live. A node goes through others only after 8 refusals in a row.

--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -41,12 +41,13 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	var throttled store.Backoff
 	for {
 		taken, err := b.drawOnce(ctx, account, claim, inquiry)
 		if taken {
 			return nil
 		}
-		if err != nil && !final(err) && wait.For(ctx, roundPause) == nil {
+		if err != nil && !final(err) && betweenRounds(ctx, err, &throttled) == nil {
 			continue
 		}
 		<-account.turn
@@ -57,13 +58,22 @@
 	}
 }
 
+// betweenRounds pauses before the next round, longer each time that the table takes no more
+// calls. It fails if the turn's time ends before that.
+func betweenRounds(ctx context.Context, err error, throttled *store.Backoff) error {
+	if errors.Is(err, store.ErrThrottled) {
+		return throttled.Wait(ctx)
+	}
+	return wait.For(ctx, roundPause)
+}
+
 // final reports whether another round would say nothing else.
 func final(err error) bool {
 	return fault.Is(err, fault.BudgetExhausted) || errors.Is(err, errHolderSilent) || errors.Is(err, errOwnerSilent)
 }
 
 // drawOnce asks the nodes that are known to hold tokens, and then each share
-// once. A node that has not read the program's rows yet, or cannot, has others
+// once, unless the table says that it takes no more calls. A node that has not read the program's rows yet, or cannot, has others
 // named by the locator first. It fails with fault.BudgetExhausted if all shares were read and are used
 // up, and no node handed over what lacks or may still do so.
 func (b *Book) drawOnce(ctx context.Context, account *account, claim Claim, inquiry *inquiry) (taken bool, failure error) {
@@ -112,6 +122,9 @@
 		if ctx.Err() != nil {
 			return false, ctx.Err()
 		}
+		if errors.Is(err, store.ErrThrottled) {
+			break // the other shares lie in the same table
+		}
 	}
 	if (failure == nil || !claim.Kept) && b.grant(ctx, account, claim, inquiry) {
 		return true, nil
@@ -167,7 +180,7 @@
 			continue
 		}
 		wanted := drawPlan(index, left, lacking, ahead(account.unspent(budget)-lacking, tokens))
-		found, done, err := share.commit(ctx, b.options.Store, wanted, account.homeOf())
+		found, done, err := share.commit(ctx, b.options.Store, store.CommitUnlessThrottled, wanted, account.homeOf())
 		if err != nil {
 			return err
 		}
--- a/internal/budget/owned.go
+++ b/internal/budget/owned.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/store"
 )
 
 // Of a large budget the rows hold only a part. The rest is granted from memory, by the owners of
@@ -167,9 +169,10 @@
 	return b.options.Granter != nil && ownedPart(claim.Budget) > 0 && !inquiry.owner
 }
 
-// noteShare notes whether a share's row answered.
+// noteShare notes whether a share's row answered. That the table takes no more calls is an
+// answer, too.
 func (b *Book) noteShare(err error) {
-	if err == nil {
+	if err == nil || errors.Is(err, store.ErrThrottled) {
 		b.failures.Store(0)
 		return
 	}
--- a/internal/budget/share.go
+++ b/internal/budget/share.go
@@ -28,6 +28,9 @@
 	tokens   int // negative when given back
 }
 
+// committer makes a transaction: store.CommitHedged, or one that leaves pauses to its caller.
+type committer func(context.Context, store.Store, store.Transaction) (store.Version, error)
+
 // effect is what transactions turn out to have done.
 type effect struct {
 	drawn    int // tokens that are this node's now
@@ -58,9 +61,9 @@
 // happens but that it is known then, and done is false. The effect is that of this
 // or of an earlier transaction: a try of this one whose answer was lost may be
 // what has changed the row.
-func (s *share) commit(ctx context.Context, table store.Store, tokens int, home string) (found effect, done bool, err error) {
+func (s *share) commit(ctx context.Context, table store.Store, by committer, tokens int, home string) (found effect, done bool, err error) {
 	next, planned := s.plan(tokens, home)
-	version, err := store.CommitHedged(ctx, table, store.Transaction{
+	version, err := by(ctx, table, store.Transaction{
 		Conditions: []store.Condition{{Key: s.key, Version: s.version}},
 		Put:        []store.Row{{Key: s.key, Value: next.encode(time.Now())}},
 	})
@@ -88,7 +91,7 @@
 		if wanted <= 0 {
 			return total
 		}
-		found, done, err := s.commit(ctx, table, -wanted, home)
+		found, done, err := s.commit(ctx, table, store.CommitHedged, -wanted, home)
 		total.drawn += found.drawn
 		total.returned += found.returned
 		if err != nil {
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -10,6 +10,7 @@
 	"encoding/gob"
 	"errors"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -143,22 +144,27 @@
 	return turn, nil
 }
 
+// placed is what a place holds of a turn; nil: nothing.
+type placed struct {
+	place int
+	turn  *Turn
+}
+
 // read asks the places of a turn, the next one when the one before has no
 // answer or no turn. Only if all of them have no turn there is none.
 func (k *Keeper) read(ctx context.Context, id string) (*Turn, error) {
-	missing := 0
-	turn, err := firstPlace(ctx, store.PatienceWith(k.options.Store, readWait), func(ctx context.Context, place int) (*Turn, error) {
-		return k.readPlace(ctx, id, place)
-	}, func(turn *Turn) bool {
-		if turn == nil {
-			missing++
-		}
-		return turn != nil
+	var missing [places]bool
+	found, err := firstPlace(ctx, store.PatienceWith(k.options.Store, readWait), func(ctx context.Context, place int) (placed, error) {
+		turn, err := k.readPlace(ctx, id, place)
+		return placed{place: place, turn: turn}, err
+	}, func(found placed) bool {
+		missing[found.place] = missing[found.place] || found.turn == nil
+		return found.turn != nil
 	})
-	if turn == nil && missing == places {
+	if found.turn == nil && !slices.Contains(missing[:], false) {
 		return nil, ErrNoTurn
 	}
-	return turn, err
+	return found.turn, err
 }
 
 func (k *Keeper) readPlace(ctx context.Context, id string, place int) (*Turn, error) {
@@ -250,7 +256,7 @@
 		return err
 	}
 	_, err := firstPlace(ctx, store.PatienceWith(k.options.Store, placeWait), func(ctx context.Context, place int) (store.Version, error) {
-		return store.CommitHedged(ctx, k.options.Store, turn.transaction(encoded.Bytes(), place))
+		return store.CommitUnlessThrottled(ctx, k.options.Store, turn.transaction(encoded.Bytes(), place))
 	}, func(store.Version) bool { return true })
 	return err
 }
--- a/internal/history/places.go
+++ b/internal/history/places.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
+	"github.com/cloverwheel/cloverwheel/internal/store"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
 
@@ -20,11 +23,29 @@
 // before has failed, was not accepted or has said nothing for a while. It returns
 // the first accepted answer. When all have answered and none was accepted, it
 // returns the zero value, and the last error if there was one; if all of them
-// failed, it asks again until ctx ends.
+// failed, it asks again until ctx ends. A place that the table refuses for the number of
+// calls ends the round, since the others lie in the same table; the next round begins after a
+// growing pause, or not at all if ctx ends before it.
 func firstPlace[T any](ctx context.Context, patience time.Duration, ask func(context.Context, int) (T, error), accept func(T) bool) (T, error) {
 	var none T
+	var throttled store.Backoff
+	var first atomic.Int32 // the place that was refused last lives, and is asked first
+	askInTurn := func(ctx context.Context, turn int) (T, error) {
+		place := (int(first.Load()) + turn) % places
+		value, err := ask(ctx, place)
+		if errors.Is(err, store.ErrThrottled) {
+			first.Store(int32(place))
+		}
+		return value, err
+	}
 	for {
-		value, failed, err := oneRound(ctx, patience, ask, accept)
+		value, failed, err := oneRound(ctx, patience, askInTurn, accept)
+		if errors.Is(err, store.ErrThrottled) {
+			if throttled.Wait(ctx) != nil {
+				return none, err
+			}
+			continue
+		}
 		if err == nil || failed < places {
 			return value, err
 		}
@@ -34,7 +55,8 @@
 	}
 }
 
-// oneRound asks each place once. failed counts those that failed.
+// oneRound asks each place once. failed counts those that failed. It ends early when the
+// table refuses one for the number of calls.
 func oneRound[T any](ctx context.Context, patience time.Duration, ask func(context.Context, int) (T, error), accept func(T) bool) (value T, failed int, failure error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -60,6 +82,9 @@
 			askNext()
 		case answer := <-answers:
 			answered++
+			if errors.Is(answer.err, store.ErrThrottled) {
+				return value, failed, answer.err
+			}
 			if answer.err != nil {
 				failed++
 				failure = answer.err
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -43,6 +44,15 @@
 	probes   probes
 	opened   chan struct{} // closed when the gate opens; nil while it is open
 	parts    map[string]*partGate
+	// throttled is when a writing call was last refused for the number of calls, in ns.
+	throttled atomic.Int64
+}
+
+// ThrottledSince reports whether the table refused a writing call of this node for the number
+// of calls at or after a moment.
+func (g *Gate) ThrottledSince(moment time.Time) bool {
+	last := g.throttled.Load()
+	return last != 0 && !time.Unix(0, last).Before(moment)
 }
 
 // Bounds of the patience with a call, and how many times what is usual it is: a call
@@ -87,6 +97,9 @@
 	}
 	begun := time.Now()
 	version, err := g.Store.Commit(ctx, transaction)
+	if errors.Is(err, ErrThrottled) {
+		g.throttled.Store(time.Now().UnixNano())
+	}
 	g.leave(ctx, first.Part, begun, err)
 	return version, err
 }
@@ -142,7 +155,8 @@
 }
 
 // leave notes what came of a call that began at a moment. A call that its caller broke
-// off, or left less time than an answer is seen to take, says nothing.
+// off, or left less time than an answer is seen to take, says nothing. One that the table
+// refused for the number of calls says that the table and the part live.
 func (g *Gate) leave(ctx context.Context, part string, begun time.Time, err error) {
 	took := time.Since(begun)
 	if Answered(err) {
@@ -154,6 +168,9 @@
 	case Answered(err):
 		delete(g.parts, part)
 		g.open("call")
+	case errors.Is(err, ErrThrottled):
+		delete(g.parts, part)
+		g.open("refusal")
 	case errors.Is(err, ErrOldConnection): // says nothing of the table
 	case errors.Is(ctx.Err(), context.Canceled):
 	case ctx.Err() != nil && took < g.way.Longest(0, enoughTime):
--- a/internal/store/relay.go
+++ b/internal/store/relay.go
@@ -32,6 +32,10 @@
 	// itself is down then, or the part.
 	firstRelayPause   = 50 * time.Millisecond
 	longestRelayPause = 800 * time.Millisecond
+	// throttledInRow calls of a node's own that the table refused for the number of calls, with
+	// none taken between them, make it try another node: the platform may throttle some nodes
+	// alone. Fewer are met by chance while all nodes together call too often.
+	throttledInRow = 8
 )
 
 // Relayed is a table that is also reached through other nodes: the platform may
@@ -39,7 +43,8 @@
 //
 // A call goes the node's own way. It goes through another node besides when the own
 // way refuses it, is silent or has just failed; the first answer that says anything
-// counts. Both may have their effect, so callers must recognise their own, as for
+// counts. That the table takes no more calls is the same for all nodes, unless it is said
+// many times in a row. Both may have their effect, so callers must recognise their own, as for
 // CommitHedged.
 type Relayed struct {
 	*Gate
@@ -50,6 +55,8 @@
 	pause  time.Duration
 	until  time.Time // before which no call is relayed
 	active bool      // the last call that was relayed was answered
+	// throttled counts the own calls in a row that the table refused for the number of calls.
+	throttled int
 }
 
 // NewRelayed returns a table that is reached through gate and through relays.
@@ -127,11 +134,14 @@
 			if result.relayed {
 				r.noteRelay(ctx, result.err)
 			}
+			helps := result.relayed || r.noteOwn(result.err)
 			if Answered(result.err) {
 				return result.value, result.err
 			}
 			failure = moreDoubtful(failure, result.err)
-			startRelay()
+			if helps {
+				startRelay()
+			}
 		}
 		if running == 0 {
 			var none T
@@ -149,6 +159,21 @@
 	return first
 }
 
+// noteOwn notes what came of a call by the own way, and reports whether another node may
+// succeed where it failed.
+func (r *Relayed) noteOwn(err error) (helps bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	switch {
+	case Answered(err):
+		r.throttled = 0
+	case errors.Is(err, ErrThrottled):
+		r.throttled++
+		return r.throttled >= throttledInRow
+	}
+	return true
+}
+
 func (r *Relayed) mayRelay() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -57,6 +57,8 @@
 	switch fault {
 	case storetest.Refused:
 		return none, store.ErrNotDone
+	case storetest.Throttled:
+		return none, store.ErrThrottled
 	case storetest.Broken:
 		return none, storetest.ErrBroken
 	case storetest.Applied:
--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -19,13 +19,14 @@
 
 // The faults of a call.
 const (
-	None    Fault = iota
-	Refused       // nothing is done, and the table says so
-	Silent        // nothing is done and nothing is said
-	Lost          // it is done and nothing is said
-	Late          // nothing is said; Release does it, if its conditions hold then
-	Broken        // nothing is done and the connection breaks
-	Applied       // it is done and the connection breaks
+	None      Fault = iota
+	Refused         // nothing is done, and the table says so
+	Silent          // nothing is done and nothing is said
+	Lost            // it is done and nothing is said
+	Late            // nothing is said; Release does it, if its conditions hold then
+	Broken          // nothing is done and the connection breaks
+	Applied         // it is done and the connection breaks
+	Throttled       // nothing is done: all nodes together call too often
 )
 
 // ErrBroken is a connection that broke before the answer.
@@ -82,6 +83,8 @@
 	switch t.fault(transaction.First().Part, true) {
 	case Refused:
 		return 0, store.ErrNotDone
+	case Throttled:
+		return 0, store.ErrThrottled
 	case Broken:
 		return 0, ErrBroken
 	case Silent:
@@ -156,6 +159,8 @@
 	switch t.fault(part, false) {
 	case Refused:
 		return store.ErrNotDone
+	case Throttled:
+		return store.ErrThrottled
 	case Broken, Applied:
 		return ErrBroken
 	case Silent, Lost, Late:
