Group commit over nodes: owners of slots write turns of many nodes together

Cause: each turn is a writing call, and all nodes together may make 1,500 a second.

Change: internal/gather. While calls are short (this node was refused lately, an owner says so, or this node's rate times the known nodes nears the limit), a node sends a turn's rows to the owner of its group of 8 parts (8 groups a region), which writes what has come while its last call was under way in one call across parts. Without its word in time, the node writes as before; a refused call goes to the owner again after its pause. Rows, parts and the promise are as before. Metrics gather_*, a log line where sending begins and ends and where an owner's word changes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -231,6 +231,9 @@
 	return Answer{Owner: true, Located: d.record(request)}
 }
 
+// Owns reports whether this process owns a slot, as far as it knows.
+func (d *Directory) Owns(slot int) bool { return d.owns(slot) }
+
 func (d *Directory) owns(slot int) bool {
 	if slot < 0 || slot >= len(d.owners) {
 		return false
--- a/internal/directory/layout.go
+++ b/internal/directory/layout.go
@@ -21,6 +21,9 @@
 // Count is the number of slots of all regions.
 func (l Layout) Count() int { return l.count() * slots }
 
+// Regions is the number of regions that have slots, at least one.
+func (l Layout) Regions() int { return l.count() }
+
 // count is the number of regions.
 func (l Layout) count() int { return max(1, len(l.regions)) }
 
--- /dev/null
+++ b/internal/gather/pace.go
@@ -0,0 +1,95 @@
+package gather
+
+import "time"
+
+const (
+	// turnsShare of the table's writing calls is for gathered rows; accounts, slots and whatever
+	// nodes write by themselves have the rest.
+	turnsShare = 0.5
+	// pacedFrom is from which part of a group's calls its rows are paced. Below it each may have
+	// a call of its own.
+	pacedFrom = 0.5
+	// shortFrom and calmBelow are the rates of rows of all groups, as parts of the calls that
+	// all of them may make, at which the table begins and ceases to be short. They lie apart so
+	// that nodes do not go to and fro.
+	shortFrom = 0.6
+	calmBelow = 0.3
+)
+
+// Pace tells how often the calls of one group may go out.
+type Pace struct {
+	// Writes is how many writing calls a second the table takes from all nodes; 0: not said.
+	Writes float64
+	// Groups is the number of groups of all regions, which share the calls.
+	Groups int
+}
+
+// calls is how many calls a second one group may make; 0: not said.
+func (p Pace) calls() float64 { return turnsShare * p.Writes / float64(max(1, p.Groups)) }
+
+// Spacing is the least time from the beginning of a group's call to that of the next, by the
+// rate of its rows, per second. Nothing is spaced while the rate is low.
+func (p Pace) Spacing(rate float64) time.Duration {
+	calls := p.calls()
+	if calls <= 0 || rate < pacedFrom*calls {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / calls)
+}
+
+// Short reports whether a group's rate of rows, as that of each other group, is near what the
+// table takes; was tells whether it has been so until now.
+func (p Pace) Short(rate float64, was bool) bool {
+	calls := p.calls()
+	switch {
+	case calls <= 0:
+		return false
+	case was:
+		return rate >= calmBelow*calls
+	default:
+		return rate >= shortFrom*calls
+	}
+}
+
+// Near reports whether a rate of rows of all nodes is near what the table takes; was is as in
+// Short.
+func (p Pace) Near(rate float64, was bool) bool {
+	return p.Short(rate/float64(max(1, p.Groups)), was)
+}
+
+// The times over which rates are taken: long enough for some rows, and no longer than a burst
+// takes to begin. A node has fewer rows than a group.
+const (
+	groupWindow = 500 * time.Millisecond
+	nodeWindow  = 2 * time.Second
+)
+
+// rate follows how many rows arrive in a second, by two windows of which the older fades out.
+type rate struct {
+	window       time.Duration
+	begun        time.Time // of the newer window
+	older, newer int
+}
+
+// add counts rows that arrive at a moment.
+func (r *rate) add(rows int, now time.Time) {
+	r.roll(now)
+	r.newer += rows
+}
+
+// at is the rate at a moment, per second.
+func (r *rate) at(now time.Time) float64 {
+	r.roll(now)
+	faded := 1 - float64(now.Sub(r.begun))/float64(r.window)
+	return (float64(r.newer) + faded*float64(r.older)) / r.window.Seconds()
+}
+
+func (r *rate) roll(now time.Time) {
+	switch past := now.Sub(r.begun); {
+	case past < r.window:
+	case past < 2*r.window:
+		r.begun, r.older, r.newer = r.begun.Add(r.window), r.newer, 0
+	default:
+		r.begun, r.older, r.newer = now, 0, 0
+	}
+}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -64,6 +64,15 @@
 	CacheBytes int
 	// Region is where this node stands: it remembers nothing that is bound to others.
 	Region string
+	// Together writes turns together with those of other nodes; nil: nobody does.
+	Together Together
+}
+
+// Together writes rows of one of the parts that hold turns, by their numbers, together with
+// those of other nodes.
+type Together interface {
+	// Put reports whether the rows are in the table for certain. If not, they may be.
+	Put(ctx context.Context, part int, rows []store.Row) (kept bool)
 }
 
 // Keeper reads and writes turns.
@@ -198,10 +207,12 @@
 func partName(part uint64) string { return "t" + strconv.FormatUint(part, 10) }
 
 // partOf is the part of a turn's place. A turn's places lie in different parts.
-func partOf(id string, place int) string {
+func partOf(id string, place int) string { return partName(partNumber(id, place)) }
+
+func partNumber(id string, place int) uint64 {
 	hash := xxhash.Sum64String(id)
 	step := 1 + (hash>>32)%(parts-1)
-	return partName((hash + uint64(place)*step) % parts)
+	return (hash + uint64(place)*step) % parts
 }
 
 // A turn's rows are named by its escaped name, in which no slash is left; all
@@ -255,7 +266,10 @@
 	if err := gob.NewEncoder(&encoded).Encode(turn); err != nil {
 		return err
 	}
-	_, err := firstPlace(ctx, store.PatienceWith(k.options.Store, placeWait), func(ctx context.Context, place int) (store.Version, error) {
+	together := func() bool {
+		return k.options.Together != nil && k.options.Together.Put(ctx, int(partNumber(turn.ID, 0)), turn.transaction(encoded.Bytes(), 0).Put)
+	}
+	_, err := firstPlaceUnless(ctx, store.PatienceWith(k.options.Store, placeWait), together, func(ctx context.Context, place int) (store.Version, error) {
 		return store.CommitUnlessThrottled(ctx, k.options.Store, turn.transaction(encoded.Bytes(), place))
 	}, func(store.Version) bool { return true })
 	return err
--- a/internal/history/places.go
+++ b/internal/history/places.go
@@ -27,7 +27,15 @@
 // calls ends the round, since the others lie in the same table; the next round begins after a
 // growing pause, or not at all if ctx ends before it.
 func firstPlace[T any](ctx context.Context, patience time.Duration, ask func(context.Context, int) (T, error), accept func(T) bool) (T, error) {
+	return firstPlaceUnless(ctx, patience, func() bool { return false }, ask, accept)
+}
+
+// firstPlaceUnless is firstPlace for what may be settled before it begins, or after a pause.
+func firstPlaceUnless[T any](ctx context.Context, patience time.Duration, settled func() bool, ask func(context.Context, int) (T, error), accept func(T) bool) (T, error) {
 	var none T
+	if settled() {
+		return none, nil
+	}
 	var throttled store.Backoff
 	var first atomic.Int32 // the place that was refused last lives, and is asked first
 	askInTurn := func(ctx context.Context, turn int) (T, error) {
@@ -44,6 +52,9 @@
 			if throttled.Wait(ctx) != nil {
 				return none, err
 			}
+			if settled() {
+				return none, nil
+			}
 			continue
 		}
 		if err == nil || failed < places {
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -43,7 +43,9 @@
 		Store: table, Self: self, Peers: others, Patience: others.patience, Locator: programs, Granter: programs, Vantage: vantage,
 	})
 	relays.known = func() []budget.Holder { return withFarOwners(vantage, budgets.Met(), programs.Owners()) }
-	keeper := history.New(options.history(table))
+	kept := options.history(table)
+	kept.Together = newWriter(options, gate, peers, programs)
+	keeper := history.New(kept)
 	peers.handle(options.Process, budgets, keeper, programs)
 	handleRelayed(peers.mux, options.Process, gate)
 	return core{
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -37,6 +37,11 @@
 	grants             *prometheus.CounterVec // by outcome
 	found              *prometheus.CounterVec // by what was asked for and what came of it
 
+	gatherCalls *prometheus.CounterVec // by outcome
+	gatherRows  prometheus.Histogram
+	gatherWait  prometheus.Histogram
+	gatherAsks  *prometheus.CounterVec // by outcome
+
 	tableCalls *prometheus.CounterVec // by call and table
 	tableBytes *prometheus.CounterVec // by what connections carry, and direction
 }
@@ -72,6 +77,7 @@
 	m.Relayed = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
 	m.ForeignEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "foreign_worker_entries_total", Help: "Entries of the list of workers that appeared or changed and name no worker."})
 	registry.MustRegister(m.Dials, m.Looks, m.Relayed, m.ForeignEntries, m.tableCalls, m.tableBytes)
+	m.addGathering()
 	return m
 }
 
--- /dev/null
+++ b/internal/server/metrics_gather.go
@@ -0,0 +1,38 @@
+package server
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cloverwheel/cloverwheel/internal/gather"
+)
+
+var _ gather.Meter = (*Metrics)(nil)
+
+// addGathering adds the metrics of rows that are written together.
+func (m *Metrics) addGathering() {
+	m.gatherCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "gather_calls_total", Help: "Calls to the table by which this node wrote gathered rows, by whether the table took them."}, []string{"taken"})
+	m.gatherRows = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "cloverwheel", Name: "gather_rows", Help: "Rows in such a call.", Buckets: []float64{1, 2, 4, 8, 16, 32, 64, 100}})
+	m.gatherWait = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "cloverwheel", Name: "gather_wait_seconds", Help: "How long rows were at this node until the table had them or their sender's time was over.", Buckets: []float64{.01, .02, .04, .08, .16, .32, .64, 1.28}})
+	m.gatherAsks = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "gather_asks_total", Help: "Turns whose rows this node sent to the owner of their group, by what came of it. All but kept were written by a call of the own."}, []string{"outcome"})
+	m.Registry.MustRegister(m.gatherCalls, m.gatherRows, m.gatherWait, m.gatherAsks)
+}
+
+// GatherCall implements gather.Meter.
+func (m *Metrics) GatherCall(rows int, taken bool) {
+	label := "no"
+	if taken {
+		label = "yes"
+	}
+	m.gatherCalls.WithLabelValues(label).Inc()
+	m.gatherRows.Observe(float64(rows))
+}
+
+// GatherWait implements gather.Meter.
+func (m *Metrics) GatherWait(waited time.Duration) { m.gatherWait.Observe(waited.Seconds()) }
+
+// GatherAsk implements gather.Meter.
+func (m *Metrics) GatherAsk(outcome gather.Outcome) {
+	m.gatherAsks.WithLabelValues(string(outcome)).Inc()
+}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/directory"
+	"github.com/cloverwheel/cloverwheel/internal/gather"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/isolation"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
@@ -36,6 +37,8 @@
 	methodLend = "quota.lend"
 	// methodLendCold asks the owner of a cold worker's slot for one request to that worker.
 	methodLendCold = "warmup.lend"
+	// methodGather asks the owner of a slot to write rows of turns together with those of others.
+	methodGather = "history.gather"
 	// methodProof asks a node since when its configuration is known to be the newest.
 	methodProof = "configuration.proof"
 )
@@ -162,7 +165,7 @@
 
 // asker asks other nodes by messages, and follows how long those of each zone take to
 // answer. It implements budget.Peers, directory.Peers, directory.GrantPeers, quota.Peers,
-// warmup.Peers and forward.Neighbours.
+// warmup.Peers, gather.Peers and forward.Neighbours.
 type asker struct {
 	transport *measured
 	ways      wait.Ways    // by zone of the process asked
@@ -194,6 +197,11 @@
 // askPeer asks a process. It returns when ctx ends; an answer that comes later is only
 // noted as such.
 func askPeer[Answer, Request any](ctx context.Context, a *asker, asked budget.Holder, method string, request Request) (Answer, error) {
+	return askPeerFor(ctx, a, asked, method, request, func(_ Answer, took time.Duration) time.Duration { return took })
+}
+
+// askPeerFor is askPeer where an answer tells how much of the time it took was spent on the way.
+func askPeerFor[Answer, Request any](ctx context.Context, a *asker, asked budget.Holder, method string, request Request, onWay func(Answer, time.Duration) time.Duration) (Answer, error) {
 	type result struct {
 		answer Answer
 		err    error
@@ -206,7 +214,7 @@
 		begun := time.Now()
 		answer, err := peer.Invoke[Answer](detached, a.transport, peer.Address(asked.Address), method, request)
 		if err == nil {
-			a.ways.Observe(locality.ZoneOf(asked.Process), time.Since(begun))
+			a.ways.Observe(locality.ZoneOf(asked.Process), max(0, onWay(answer, time.Since(begun))))
 			a.note(asked, nil)
 		}
 		results <- result{answer, err}
@@ -268,3 +276,13 @@
 	answer, err := askPeer[chainAnswer](peer.Repeatable(ctx), a, holder, methodChain, chainRequest{Process: holder.Process, Turn: turn})
 	return answer.Turns, err
 }
+
+// Gather implements gather.Peers.
+func (a *asker) Gather(ctx context.Context, owner budget.Holder, request gather.Request) (gather.Answer, error) {
+	if !mayCarry(ctx, a.transport.vantage.Places, owner) {
+		return gather.Answer{}, gather.ErrNotCarried
+	}
+	return askPeerFor(ctx, a, owner, methodGather, request, func(answer gather.Answer, took time.Duration) time.Duration {
+		return took - answer.Took
+	})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -127,6 +127,8 @@
 	// that requests' bodies and cached turns may take.
 	memoryForBodies  = 8 // an eighth
 	memoryForHistory = 10
+	// memoryForGathering is that of rows that wait to be written for other nodes.
+	memoryForGathering = 32
 	// heapShare of the memory is where the garbage collector begins to work harder.
 	heapShare = 0.7
 	// defaultMemory is taken where no limit is given.
--- a/internal/store/throttle.go
+++ b/internal/store/throttle.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -18,11 +19,19 @@
 
 // Backoff spaces the tries of one call that the table refuses for the number of calls. Its
 // zero value stands for a call that was not refused yet. It is not safe for concurrent use.
-type Backoff struct{ pause time.Duration }
+type Backoff struct {
+	// Longest bounds the mean pause; 0 is what suits a call for one caller.
+	Longest time.Duration
+
+	pause time.Duration
+}
+
+// Reset takes the table to have taken a call.
+func (b *Backoff) Reset() { b.pause = 0 }
 
 // Next is the pause before the next try.
 func (b *Backoff) Next() time.Duration {
-	b.pause = min(max(2*b.pause, firstThrottlePause), longestThrottlePause)
+	b.pause = min(max(2*b.pause, firstThrottlePause), cmp.Or(b.Longest, longestThrottlePause))
 	return b.pause/2 + rand.N(b.pause)
 }
 
