Turns of a part are written together for a time by their rate; calls across parts where the settings allow them

Change: provider.across is read. Without it each part of a group has a queue of its own, and the first row of a call waits for others: parts/calls - 1/rate, so that all calls stay within 0.7 of writesPerS; nothing waits while there are no more rows than that. A hedged commit's error names the first try that may have had an effect.

--- a/internal/gather/doc.go
+++ b/internal/gather/doc.go
@@ -1,7 +1,8 @@
 // Package gather keeps rows of many nodes together, so that the table is called less often
 // than rows are written (group commit). The owner of a directory slot gathers the rows of a
-// group of parts: while its last call is under way, or while calls are short, rows wait, and
-// then go in one call.
+// group of parts. Those of a part go in one call, or those of the whole group where the table
+// takes calls across parts: what comes while the last call is under way, and, while there are
+// more rows than calls, what comes within a time by the rate of rows.
 //
 // It is a way, not a promise: whoever gets no word in time that its rows are in the table
 // writes them itself. Writing the same row twice must do no harm. A node sends its rows to an
@@ -17,8 +18,8 @@
 )
 
 const (
-	// Groups is into how many groups the parts of a region are divided. Each has one owner,
-	// which writes several parts in one call. Fewer gather more, and more is lost with one.
+	// Groups is into how many groups the parts of a region are divided. Each has one owner. Fewer
+	// know the rate of rows better, and more is lost with one.
 	Groups = 8
 	// partsOfGroup of the 64 parts follow one another in a group.
 	partsOfGroup = 8
@@ -36,6 +37,7 @@
 	Group   int
 	Rows    []store.Row
 	Within  time.Duration // the asker listens for so long
+	Again   bool          // the same rows were sent before
 }
 
 // size is what the rows take in the table, in bytes.
--- a/internal/gather/pace.go
+++ b/internal/gather/pace.go
@@ -5,36 +5,51 @@
 const (
 	// turnsShare of the table's writing calls is for gathered rows; accounts, slots and whatever
 	// nodes write by themselves have the rest.
-	turnsShare = 0.5
-	// pacedFrom is from which part of a group's calls its rows are paced. Below it each may have
-	// a call of its own.
-	pacedFrom = 0.5
+	turnsShare = 0.7
+	// aimedAt is the part of the share that is aimed at: rates are estimates, and a low one costs
+	// more calls than a high one saves.
+	aimedAt = 0.97
+	// longestGathering bounds how long rows wait for others.
+	longestGathering = 250 * time.Millisecond
 	// shortFrom and calmBelow are the rates of rows of all groups, as parts of the calls that
 	// all of them may make, at which the table begins and ceases to be short. They lie apart so
 	// that nodes do not go to and fro.
-	shortFrom = 0.6
-	calmBelow = 0.3
+	shortFrom = 0.8
+	calmBelow = 0.5
 )
 
-// Pace tells how often the calls of one group may go out.
+// Pace tells how long rows wait for others.
 type Pace struct {
 	// Writes is how many writing calls a second the table takes from all nodes; 0: not said.
 	Writes float64
 	// Groups is the number of groups of all regions, which share the calls.
 	Groups int
+	// Across tells that the table takes rows of several parts in one call.
+	Across bool
+}
+
+// queues is how many queues a group has: rows that may go in one call wait in one.
+func (p Pace) queues() int {
+	if p.Across {
+		return 1
+	}
+	return partsOfGroup
 }
 
 // calls is how many calls a second one group may make; 0: not said.
 func (p Pace) calls() float64 { return turnsShare * p.Writes / float64(max(1, p.Groups)) }
 
-// Spacing is the least time from the beginning of a group's call to that of the next, by the
-// rate of its rows, per second. Nothing is spaced while the rate is low.
-func (p Pace) Spacing(rate float64) time.Duration {
+// Gathering is how long the first row of a call waits for others, by the rate of the group's
+// rows, per second: so long that the group's calls stay within its part of the share. While
+// there are no more rows than calls it does not wait.
+func (p Pace) Gathering(rate float64) time.Duration {
 	calls := p.calls()
-	if calls <= 0 || rate < pacedFrom*calls {
+	if calls <= 0 || rate <= calls {
 		return 0
 	}
-	return time.Duration(float64(time.Second) / calls)
+	queues := float64(p.queues())
+	between := queues/(aimedAt*calls) - queues/rate // a call comes once its first row has come and waited
+	return min(time.Duration(between*float64(time.Second)), longestGathering)
 }
 
 // Short reports whether a group's rate of rows, as that of each other group, is near what the
@@ -60,7 +75,7 @@
 // The times over which rates are taken: long enough for some rows, and no longer than a burst
 // takes to begin. A node has fewer rows than a group.
 const (
-	groupWindow = 500 * time.Millisecond
+	groupWindow = time.Second
 	nodeWindow  = 2 * time.Second
 )
 
--- a/internal/gather/writer.go
+++ b/internal/gather/writer.go
@@ -136,6 +136,7 @@
 		if request.Within < leastWithin {
 			return false
 		}
+		request.Again = tries > 1
 		outcome, again := w.ask(ctx, request)
 		if outcome != "" {
 			w.options.Meter.GatherAsk(outcome)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -58,6 +58,8 @@
 	ColdSlack   float64
 	// TableWrites is how many writing calls a second the table takes from all nodes together; 0: not said.
 	TableWrites float64
+	// TableAcross tells that the table takes transactions across parts.
+	TableAcross bool
 }
 
 // Records decodes the rows of the tables that are followed.
--- a/internal/server/together.go
+++ b/internal/server/together.go
@@ -13,7 +13,7 @@
 func newWriter(options Options, gate *store.Gate, peers *peers, programs *directory.Directory) *gather.Writer {
 	vantage := options.Settings.vantage()
 	slots := gather.Slots{Layout: directory.NewLayout(vantage.Places), Region: vantage.Region()}
-	pace := gather.Pace{Writes: options.Settings.TableWrites, Groups: slots.Groups()}
+	pace := gather.Pace{Writes: options.Settings.TableWrites, Groups: slots.Groups(), Across: options.Settings.TableAcross}
 	gatherer := gather.NewGatherer(gather.GathererOptions{
 		Process: options.Process,
 		Owns:    slots.Owned(programs.Owns),
--- a/internal/store/hedge.go
+++ b/internal/store/hedge.go
@@ -59,7 +59,8 @@
 	transaction Transaction
 	results     chan commitResult
 	running     int
-	unsure      bool // some try may have had an effect
+	unsure      bool  // some try may have had an effect
+	doubt       error // of the first such try
 	retryPause  time.Duration
 	throttled   Backoff
 }
@@ -100,7 +101,7 @@
 			}
 		case result := <-h.results:
 			h.running--
-			h.unsure = h.unsure || result.unsure()
+			h.note(result)
 			if Answered(result.err) {
 				return result.version, result.err
 			}
@@ -131,8 +132,20 @@
 	return h.running > 0
 }
 
-// failure makes an error say whether some try may have had an effect.
-func (h *hedge) failure(err error) error { return notDone(err, !h.unsure && h.running == 0) }
+// note remembers a try that may have had an effect.
+func (h *hedge) note(result commitResult) {
+	if result.unsure() && !h.unsure {
+		h.unsure, h.doubt = true, result.err
+	}
+}
+
+// failure makes an error say whether some try may have had an effect, and why.
+func (h *hedge) failure(err error) error {
+	if h.doubt != nil {
+		err = fmt.Errorf("%w (first try: %w)", err, h.doubt)
+	}
+	return notDone(err, !h.unsure && h.running == 0)
+}
 
 // notDone makes an error say that nothing was done, if that is certain, and else
 // makes sure that it does not say so.
--- a/internal/store/storetest/counted.go
+++ b/internal/store/storetest/counted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -29,6 +30,7 @@
 	Writes float64       // calls a second
 	Way    time.Duration // there and back
 	Takes  time.Duration // a call, in its part
+	Across bool          // calls across parts are taken
 }
 
 // Bounds of a Counted: the time of calls that may come at once, and of those that wait for a part.
@@ -39,6 +41,9 @@
 
 var _ store.Store = (*Counted)(nil)
 
+// ErrAcross refuses a call across parts.
+var ErrAcross = errors.New("status 400: rows of several parts")
+
 // NewCounted returns an empty table.
 func NewCounted(options CountedOptions) *Counted {
 	return &Counted{Table: New(), options: options, filled: time.Now(), free: map[string]time.Time{}, slower: 1}
@@ -108,6 +113,9 @@
 
 // Commit implements store.Store. It is done though its caller has gone.
 func (c *Counted) Commit(ctx context.Context, transaction store.Transaction) (store.Version, error) {
+	if transaction.Across() && !c.options.Across {
+		return 0, ErrAcross
+	}
 	takes, taken := c.admit(transaction)
 	if !taken {
 		if err := wait.For(ctx, takes); err != nil {
