--- a/internal/history/throttle_test.go
+++ b/internal/history/throttle_test.go
@@ -47,8 +47,8 @@
 	})
 }
 
-// TestRefusedPlaceIsNoWordOnTheTurn: that one place has no turn, asked twice because the other
-// was refused, does not mean that there is none.
+// TestRefusedPlaceIsNoWordOnTheTurn: that one place has no turn, though it is asked twice because
+// the other was refused or failed, does not mean that there is none.
 func TestRefusedPlaceIsNoWordOnTheTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := storetest.New()
@@ -60,13 +60,21 @@
 		})
 		require.NoError(t, keeper(table).Keep(t.Context(), turn("a"), nil, time.Minute))
 		var calls atomic.Int32
+		then := storetest.None
 		table.SetFault(func(part string, _ bool) storetest.Fault {
-			if part == partOf("a", 1) && calls.Add(1) <= 3 {
+			switch {
+			case part != partOf("a", 1):
+				return storetest.None
+			case calls.Add(1) <= 3:
 				return storetest.Throttled
 			}
-			return storetest.None
+			return then
 		})
 		_, err := keeper(table).Chain(t.Context(), "a")
 		require.NoError(t, err)
+		calls.Store(0)
+		then = storetest.Broken
+		_, err = keeper(table).Chain(t.Context(), "a")
+		require.ErrorIs(t, err, storetest.ErrBroken)
 	})
 }
--- a/internal/server/content_test.go
+++ b/internal/server/content_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/gather"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
@@ -43,6 +44,12 @@
 				require.NoError(t, err)
 			}
 		},
+		"rows of a turn": func(ctx context.Context) {
+			for _, holder := range []budget.Holder{inside, outside, nameless} {
+				_, err := neighbours.Gather(ctx, holder, gather.Request{})
+				require.Error(t, err, "nobody handles it in this test")
+			}
+		},
 		"a write": func(ctx context.Context) {
 			_, err := contentRelays(transport, places, inside, outside, nameless).Commit(ctx, store.Transaction{})
 			require.Error(t, err, "nobody handles it in this test")
