--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -40,6 +40,7 @@
 	mutex   sync.Mutex
 	choose  func(part string, write bool) Fault
 	rows    map[store.Key]store.Row
+	names   map[store.Key]int // in how many parts of a table there is a row of a name
 	version store.Version
 	history []store.Row
 	dropped store.Version // history up to here is forgotten
@@ -57,7 +58,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: map[store.Key]store.Row{}, changed: make(chan struct{})}
+	return &Table{rows: map[store.Key]store.Row{}, names: map[store.Key]int{}, changed: make(chan struct{})}
 }
 
 func (t *Table) fault(part string, write bool) Fault {
@@ -138,10 +139,12 @@
 	for _, row := range transaction.Put {
 		row.Version = t.version
 		row.Value = slices.Clone(row.Value)
+		t.note(row.Key, 1)
 		t.rows[row.Key] = row
 		t.history = append(t.history, row)
 	}
 	for _, key := range transaction.Remove {
+		t.note(key, -1)
 		delete(t.rows, key)
 		t.history = append(t.history, store.Row{Key: key, Version: t.version, Gone: true})
 	}
@@ -150,6 +153,13 @@
 	return t.version, nil
 }
 
+// note counts a row that is written for the first time, or removed. The caller holds the mutex.
+func (t *Table) note(key store.Key, by int) {
+	if _, there := t.rows[key]; there == (by < 0) {
+		t.names[store.Key{Table: key.Table, Name: key.Name}] += by
+	}
+}
+
 func (t *Table) check(conditions []store.Condition) error {
 	failed := false
 	conflict := &store.Conflict{}
@@ -210,6 +220,13 @@
 	return page, nil
 }
 
+// Has reports whether any part of a table holds a row of a name.
+func (t *Table) Has(table, name string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.names[store.Key{Table: table, Name: name}] > 0
+}
+
 // Watch implements store.Store.
 func (t *Table) Watch(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Page, error) {
 	t.mutex.Lock()
