Rows that a node knows ride on the tokens it hands over; nodes are named before the table is asked

Change: HandOverAnswer.Rows (a field more; golden file), versions in the request so that only newer rows come; hints are drawn on conditionally, never believed for 'spent'. Used up rows come last. The account names other nodes to the search for the chain before it asks the table.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -24,10 +24,12 @@
 	mutex   sync.Mutex
 	free    int // held by this node and not in use
 	home    string
-	used    time.Time // when a turn last began; guarded by the book
-	spent   time.Time // when the table last said that the budget is spent
-	holders []Holder  // other processes that may hold tokens, the newest last
-	takers  []Holder  // of these, the ones that got tokens from this process
+	used    time.Time  // when a turn last began; guarded by the book
+	spent   time.Time  // when the table last said that the budget is spent
+	holders []Holder   // other processes that may hold tokens, the newest last
+	takers  []Holder   // of these, the ones that got tokens from this process
+	rows    []KnownRow // what this process knows of the rows, for others
+	told    []KnownRow // what others knew of them, not yet taken over
 	// granting is a request to an owner under way, and grantNumber that of the last one without an
 	// answer; 0: there is none.
 	granting    *granting
--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -120,6 +120,16 @@
 	// Kept says that the turn cannot end without the table. It is not worth
 	// running, then, while that is out of reach.
 	Kept bool
+	// Named is told, before the table is asked, which other processes had turns of the program, if
+	// some are known then. It may be called again. Nil: nobody is told.
+	Named func([]Holder)
+}
+
+// name tells who had turns of the program.
+func (c Claim) name(others []Holder) {
+	if c.Named != nil && len(others) > 0 {
+		c.Named(others)
+	}
 }
 
 // Reserve reserves the tokens of a claim. It fails with fault.BudgetExhausted
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -43,6 +43,7 @@
 	}
 	for {
 		taken, err := b.drawOnce(ctx, account, claim, inquiry)
+		account.publish()
 		if taken {
 			return nil
 		}
@@ -91,7 +92,8 @@
 		return true, nil
 	}
 	failures := 0
-	for _, index := range drawOrder {
+	claim.name(b.others(account))
+	for _, index := range account.order(budget, account.lacks(tokens)) {
 		limited, cancel := context.WithTimeout(ctx, store.PatienceWith(b.options.Store, shareWait))
 		err := b.drawFrom(limited, account, index, claim, inquiry)
 		cancel()
@@ -156,7 +158,7 @@
 		if left == 0 && certain {
 			return nil
 		}
-		if left == 0 || claim.Continues && !share.seen {
+		if left == 0 || claim.Continues && !share.informed() {
 			found, err := share.read(ctx, b.options.Store)
 			if err != nil {
 				return err
--- a/internal/budget/golden_test.go
+++ b/internal/budget/golden_test.go
@@ -26,6 +26,28 @@
 	require.Equal(t, goldenRow, read)
 }
 
+// goldenAnswer is what a node hands over, with rows that it knows, as builds have written it that are in use.
+var goldenAnswer = HandOverAnswer{Tokens: 5, Home: "w1", Others: []Holder{{Process: "p2", Address: "10.0.0.2:7380"}}, Rows: []KnownRow{{Share: 1, Version: 12, Row: goldenRow}, {Share: 2}}}
+
+const goldenAnswerFile = "testdata/hand-over-answer-2.gob"
+
+// TestRowsThatNodesOfBuildsInUseTellAreRead, and a build that does not know them reads the rest.
+func TestRowsThatNodesOfBuildsInUseTellAreRead(t *testing.T) {
+	value, err := os.ReadFile(goldenAnswerFile)
+	require.NoError(t, err)
+	var read HandOverAnswer
+	require.NoError(t, gob.NewDecoder(bytes.NewReader(value)).Decode(&read))
+	require.Equal(t, goldenAnswer, read)
+	var earlier struct {
+		Tokens int
+		Home   string
+		Others []Holder
+	}
+	require.NoError(t, gob.NewDecoder(bytes.NewReader(value)).Decode(&earlier))
+	require.Equal(t, goldenAnswer.Tokens, earlier.Tokens)
+	require.Equal(t, goldenAnswer.Others, earlier.Others)
+}
+
 // TestRowsOfALaterBuildAreRead: it may have added a field.
 func TestRowsOfALaterBuildAreRead(t *testing.T) {
 	type laterHolding struct {
--- a/internal/budget/peers.go
+++ b/internal/budget/peers.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cloverwheel/cloverwheel/internal/locality"
+	"github.com/cloverwheel/cloverwheel/internal/store"
 )
 
 // Holder is a process that may hold tokens of a program.
@@ -29,6 +30,8 @@
 	// Number tells this request from all others of the asker. One that got no
 	// answer is asked again by the same number, and brings the same tokens.
 	Number uint64
+	// Known are the versions of the program's rows that the asker knows: it is told newer ones.
+	Known []store.Version
 }
 
 // HandOverAnswer brings tokens. They are the asker's from now on. If the answer
@@ -38,6 +41,8 @@
 	Tokens int
 	Home   string   // worker of the program's newest turn at the process asked; empty if unknown
 	Others []Holder // processes that got tokens from this one
+	// Rows are what the process knows better of the program's rows, if it gave less than was asked for.
+	Rows []KnownRow
 }
 
 // Peers asks other nodes.
@@ -198,6 +203,7 @@
 		Tokens:  lacking,
 		From:    b.options.Self,
 		Number:  account.numberFor(holder, b.asks.Add(1)),
+		Known:   account.versions(),
 	})
 	if err != nil {
 		if ctx.Err() == nil { // else the turn broke off: it says nothing of the node
@@ -210,6 +216,7 @@
 	account.add(answer.Tokens)
 	account.setHome(answer.Home)
 	account.noteHolders(answer.Others...)
+	account.noteTold(answer.Rows)
 	if answer.Tokens == 0 {
 		return false
 	}
@@ -267,6 +274,9 @@
 	given := min(a.free, request.Tokens+max(0, a.free-request.Tokens)/2)
 	a.free -= given
 	answer := HandOverAnswer{Tokens: given, Home: a.home, Others: slices.Clone(a.takers)}
+	if given < request.Tokens {
+		answer.Rows = newer(a.rows, request.Known)
+	}
 	if given > 0 {
 		a.takers = remember(a.takers, request.From, maxHolders)
 		a.holders = remember(a.holders, request.From, maxHolders)
--- a/internal/budget/share.go
+++ b/internal/budget/share.go
@@ -18,6 +18,7 @@
 	known    row
 	version  store.Version
 	seen     bool // the row, or that there is none, was learnt from the table
+	hinted   bool // another process told it (see KnownRow)
 	sequence uint64
 	unsure   []change // transactions of unknown effect, all on the known version
 }
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -81,6 +81,12 @@
 	defer cancel()
 	group, waiting := errgroup.WithContext(waiting)
 	holders := make(chan []budget.Holder, 1)
+	name := func(others []budget.Holder) {
+		select {
+		case holders <- others:
+		default: // they were named before
+		}
+	}
 	if x.request.Budget > 0 && x.request.Program != "" {
 		group.Go(func() (err error) {
 			reservation, err = x.options.Budgets.Reserve(waiting, budget.Claim{
@@ -89,9 +95,10 @@
 				Tokens:    x.request.Output,
 				Continues: x.request.Continue != "",
 				Kept:      x.route.Retain,
+				Named:     name,
 			})
 			if err == nil {
-				holders <- reservation.Others
+				name(reservation.Others)
 			}
 			return err
 		})
