The directory remembers who ran which turn of a program that is spread over many nodes

Change: a node that has kept a turn of a program with three other nodes or more tells the owner of its slot (one message, not waited for); who looks for a chain of such a program asks the owner first, then that node, then the others, then the table.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -53,12 +53,16 @@
 	// Probe only asks whether the process owns Slot; nothing is noted.
 	Probe bool
 	Slot  int
+	// Ran is a turn of the program that the asker has run; After is one that it goes on from, and of
+	// which it asks who ran it. Empty: neither.
+	Ran, After string
 }
 
 // Answer is what the owner knows.
 type Answer struct {
 	Owner   bool // the process asked owns the program's slot
 	Located budget.Located
+	RanBy   budget.Holder // who ran the turn asked for; without a process it is not known
 }
 
 // Peers asks other nodes.
@@ -123,6 +127,7 @@
 	used    time.Time
 	spent   int // size of the last turn that the table refused; 0: none
 	spentAt time.Time
+	turns   []ran // the newest last
 }
 
 // located is what an entry tells a process.
@@ -145,6 +150,9 @@
 	if request.Spent > 0 {
 		e.spent, e.spentAt = request.Spent, now
 	}
+	if request.Ran != "" {
+		e.noteRan(request.Ran, asker)
+	}
 	if request.Returned {
 		e.spent = 0
 		return // the asker stops
@@ -178,7 +186,7 @@
 // Locate implements budget.Locator. It tells nothing if the owner of the program's
 // slot is not known or does not answer.
 func (d *Directory) Locate(ctx context.Context, program string) budget.Located {
-	return d.ask(ctx, Request{Program: program, From: d.options.Self})
+	return d.ask(ctx, Request{Program: program, From: d.options.Self}).Located
 }
 
 // NoteSpent implements budget.Locator. It does not wait for the owner.
@@ -192,28 +200,28 @@
 }
 
 // ask tells the owner of a program's slot of a turn.
-func (d *Directory) ask(ctx context.Context, request Request) budget.Located {
+func (d *Directory) ask(ctx context.Context, request Request) Answer {
 	slot := d.slotOf(request.Program)
 	asked, ok := d.Owner(slot)
 	if !ok {
-		return budget.Located{}
+		return Answer{}
 	}
 	request.Process = asked.Process
 	if asked.Process == d.options.Self.Process {
-		return d.Answer(request).Located
+		return d.Answer(request)
 	}
 	limited, cancel := context.WithTimeout(ctx, d.options.Patience.Of(asked.Process, locateWait, longestLocateWait))
 	defer cancel()
 	answer, err := d.options.Peers.Locate(limited, asked.Address, request)
 	if ctx.Err() != nil {
-		return budget.Located{}
+		return Answer{}
 	}
 	if err != nil || !answer.Owner {
 		d.Missed(slot, asked)
-		return budget.Located{}
+		return Answer{}
 	}
 	d.Heard(slot)
-	return answer.Located
+	return answer
 }
 
 // Answer answers another node.
@@ -228,7 +236,7 @@
 	if request.Probe {
 		return Answer{Owner: true}
 	}
-	return Answer{Owner: true, Located: d.record(request)}
+	return d.record(request)
 }
 
 func (d *Directory) owns(slot int) bool {
@@ -253,8 +261,8 @@
 	return known.Holder, !ok || suspected.process != known.Process || time.Since(suspected.last) >= askAgainAfter
 }
 
-// record notes a turn of a program, and returns what was known of the program before.
-func (d *Directory) record(request Request) budget.Located {
+// record notes a turn of a program, and answers what was known of the program before.
+func (d *Directory) record(request Request) Answer {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := time.Now()
@@ -262,14 +270,17 @@
 	known, ok := d.entries[request.Program]
 	if !ok {
 		if len(d.entries) >= maxEntries {
-			return budget.Located{}
+			return Answer{Owner: true}
 		}
 		known = &entry{}
 		d.entries[request.Program] = known
 	}
-	located := known.located(request.From, now)
+	answer := Answer{Owner: true, Located: known.located(request.From, now)}
+	if request.After != "" {
+		answer.RanBy = known.ranBy(request.After)
+	}
 	known.note(request, now)
-	return located
+	return answer
 }
 
 // sweep drops the entries of programs at rest, once in a while. The caller holds
--- /dev/null
+++ b/internal/directory/turns_test.go
@@ -0,0 +1,46 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+)
+
+func TestOwnerRemembersWhoRanATurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4)
+		defer c.stop()
+		time.Sleep(10 * time.Second)
+		c.node(0).NoteRan("p", "t1")
+		c.node(2).NoteRan("p", "t2")
+		time.Sleep(300 * time.Millisecond)
+		for index, turn := range map[int]string{0: "t1", 2: "t2"} {
+			holder, ok := c.node(1).RanBy(t.Context(), "p", turn)
+			require.True(t, ok)
+			require.Equal(t, c.node(index).options.Self, holder)
+		}
+		_, ok := c.node(1).RanBy(t.Context(), "p", "t3")
+		require.False(t, ok)
+		_, ok = c.node(1).RanBy(t.Context(), "other", "t1")
+		require.False(t, ok)
+		_, ok = c.node(0).RanBy(t.Context(), "p", "t1")
+		require.False(t, ok, "it knows what it has run itself")
+		require.Contains(t, c.node(3).Locate(t.Context(), "p").Holders, c.node(2).options.Self, "who ran a turn may hold tokens")
+	})
+}
+
+func TestAsManyTurnsAreRememberedAsAreBounded(t *testing.T) {
+	var e entry
+	for index := range maxTurns + 5 {
+		e.noteRan(fmt.Sprint(index), budget.Holder{Process: fmt.Sprint("n", index%2)})
+	}
+	require.Len(t, e.turns, maxTurns)
+	require.Empty(t, e.ranBy("4"))
+	require.Equal(t, "n1", e.ranBy("5").Process)
+	require.Equal(t, "n0", e.ranBy(fmt.Sprint(maxTurns+4)).Process)
+}
--- a/internal/forward/chain.go
+++ b/internal/forward/chain.go
@@ -16,6 +16,14 @@
 	Chain(ctx context.Context, holder budget.Holder, turn string) ([]*history.Turn, error)
 }
 
+// Turns remembers which nodes ran turns. What it tells may be wrong.
+type Turns interface {
+	// NoteRan notes that this node has run a turn. It does not wait.
+	NoteRan(program, turn string)
+	// RanBy tells which node ran a turn; ok is false if that is not known.
+	RanBy(ctx context.Context, program, turn string) (holder budget.Holder, ok bool)
+}
+
 const (
 	// Other nodes have as long to tell a chain, once it is known which to ask, as answers
 	// from their places are seen to take, from chainPatience to longestChainPatience; then
@@ -99,10 +107,42 @@
 	case <-ctx.Done():
 		return nil
 	case known := <-holders:
-		asked := known[:min(len(known), maxChainAsked)]
-		asking <- x.chainPatience(asked)
-		return x.firstChain(ctx, asked)
+		others := known[:min(len(known), maxChainAsked)]
+		holder, ok := x.ranBy(ctx, known)
+		if !ok {
+			asking <- x.chainPatience(others)
+			return x.firstChain(ctx, others)
+		}
+		asking <- x.chainPatience([]budget.Holder{holder})
+		if chain := x.askOneChain(ctx, holder); chain != nil {
+			return chain
+		}
+		return x.firstChain(ctx, without(others, holder))
+	}
+}
+
+// isSpread reports whether a program had turns at more nodes than are asked for its chain. Who ran
+// which turn is worth a message then.
+func isSpread(others []budget.Holder) bool { return len(others) >= maxChainAsked }
+
+// ranBy asks which node ran the turn that this one goes on from.
+func (x *exchange) ranBy(ctx context.Context, others []budget.Holder) (budget.Holder, bool) {
+	if x.options.Turns == nil || !isSpread(others) {
+		return budget.Holder{}, false
 	}
+	return x.options.Turns.RanBy(ctx, x.tenant.Scope(x.request.Program), x.previous())
+}
+
+// noteRan tells who ran this turn.
+func (x *exchange) noteRan(others []budget.Holder) {
+	if x.options.Turns != nil && isSpread(others) {
+		x.options.Turns.NoteRan(x.tenant.Scope(x.request.Program), x.tenant.Scope(x.request.ID))
+	}
+}
+
+// without is a list without one of its holders.
+func without(list []budget.Holder, left budget.Holder) []budget.Holder {
+	return slices.DeleteFunc(slices.Clone(list), func(holder budget.Holder) bool { return holder == left })
 }
 
 // chainPatience is how long the quickest of nodes usually takes to answer.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -26,6 +26,8 @@
 	History   *history.Keeper
 	// Neighbours asks other nodes for what was said; nil: only the table is asked.
 	Neighbours Neighbours
+	// Turns tells which node ran a turn, where that is remembered; nil: nobody does.
+	Turns Turns
 	// Patience is how long other nodes' answers are seen to take; nil: not known.
 	Patience wait.Patience
 	// Freshness tells whether keys may be believed; nil: always.
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -60,6 +60,9 @@
 	if refusal = x.keep(ctx, chain); refusal != nil {
 		return refusal
 	}
+	if x.route.Retain && reservation != nil {
+		x.noteRan(reservation.Others)
+	}
 	x.out.End()
 	return nil
 }
--- a/internal/forward/turn_test.go
+++ b/internal/forward/turn_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -250,12 +252,19 @@
 // remembered is another node's memory of turns.
 type remembered struct {
 	keeper *history.Keeper
+	mutex  sync.Mutex
 	asked  []budget.Holder
 }
 
+func (r *remembered) note(holder budget.Holder) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.asked = append(r.asked, holder)
+}
+
 // Chain implements Neighbours.
 func (r *remembered) Chain(_ context.Context, holder budget.Holder, turn string) ([]*history.Turn, error) {
-	r.asked = append(r.asked, holder)
+	r.note(holder)
 	return r.keeper.Known(turn), nil
 }
 
@@ -288,6 +297,74 @@
 	})
 }
 
+// ranBy remembers who ran each turn.
+type ranBy struct {
+	holders map[string]budget.Holder
+	noted   []string
+}
+
+// NoteRan implements Turns.
+func (r *ranBy) NoteRan(_, turn string) { r.noted = append(r.noted, turn) }
+
+// RanBy implements Turns.
+func (r *ranBy) RanBy(_ context.Context, _, turn string) (budget.Holder, bool) {
+	holder, ok := r.holders[turn]
+	return holder, ok
+}
+
+// spreadLocator names many nodes that had turns of a program.
+type spreadLocator struct{ count int }
+
+// Locate implements budget.Locator.
+func (l spreadLocator) Locate(context.Context, string) (located budget.Located) {
+	for index := range l.count {
+		located.Holders = append(located.Holders, budget.Holder{Process: fmt.Sprint("h", index)})
+	}
+	return located
+}
+
+// NoteSpent implements budget.Locator.
+func (spreadLocator) NoteSpent(string, int) {}
+
+// NoteReturned implements budget.Locator.
+func (spreadLocator) NoteReturned(context.Context, string) {}
+
+// TestChainOfASpreadProgramIsAskedOfTheNodeThatRanIt: where more nodes had turns than are asked, the
+// one that ran the last turn of the line is named by the turn.
+func TestChainOfASpreadProgramIsAskedOfTheNodeThatRanIt(t *testing.T) {
+	for _, holders := range []int{maxChainAsked - 1, maxChainAsked} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, turnRoute(retained))
+			f.worker("w", streams(2, 0))
+			f.serve(t.Context(), func(r *Request) { r.ID = "t1" })
+
+			other := newFixture(t, turnRoute(retained))
+			other.worker("w", streams(2, 0))
+			other.forwarder.options.Budgets = budget.NewBook(budget.Options{
+				Store: f.table, Self: budget.Holder{Process: "m"}, Locator: spreadLocator{count: holders},
+			})
+			neighbour := &remembered{keeper: f.forwarder.options.History}
+			turns := &ranBy{holders: map[string]budget.Holder{"t1": {Process: "ran"}}}
+			other.forwarder.options.Neighbours, other.forwarder.options.Turns = neighbour, turns
+			other.forwarder.options.History = newHistory(other.table)
+			got := other.serve(t.Context(), func(r *Request) {
+				r.ID, r.Continue, r.Program, r.Budget, r.Output = "t2", "t1", "p", 10_000, 60
+			})
+			require.True(t, got.ended)
+			synctest.Wait() // for those that were asked at the same time
+			_, reads := other.table.Calls()
+			require.Zero(t, reads)
+			if holders < maxChainAsked {
+				require.NotContains(t, neighbour.asked, budget.Holder{Process: "ran"}, "all that had turns are asked")
+				require.Empty(t, turns.noted)
+				return
+			}
+			require.Equal(t, []budget.Holder{{Process: "ran"}}, neighbour.asked)
+			require.Equal(t, []string{"t2"}, turns.noted)
+		})
+	}
+}
+
 // TestChainThatNoNodeRemembersIsRead, and a node that answers with another chain
 // is not believed.
 func TestChainThatNoNodeRemembersIsRead(t *testing.T) {
@@ -305,7 +382,7 @@
 			other := newFixture(t, turnRoute(retained))
 			other.worker("w", streams(2, 0))
 			other.forwarder.options.Budgets = budget.NewBook(budget.Options{Store: f.table, Self: budget.Holder{Process: "m"}})
-			other.forwarder.options.Neighbours = &mistaken{remembered{keeper: memory}}
+			other.forwarder.options.Neighbours = &mistaken{remembered: remembered{keeper: memory}}
 			other.forwarder.options.History = newHistory(f.table)
 			other.serve(t.Context(), claim("t2", "t1"))
 			require.Equal(t, "t1;t1\nt2\nt2;", other.sent()[0].body)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -171,6 +171,7 @@
 			Budgets:    core.budgets,
 			History:    core.history,
 			Neighbours: core.neighbours,
+			Turns:      core.programs,
 			Patience:   peers.asker.patience,
 			Freshness:  knowledge.fresh,
 			Limits:     core.limits,
