Room: keepers of groups of workers, and nodes that tell and ask them

Steps: a Reporter on each node counts the places that its requests have (from the choice to the end of the send), tells the keeper of a worker's group what runs, and asks it while the group is busy by its last word. A Keeper answers from its desks, and holds a question while there is no room. The keeper is the owner of the first directory slot in the group's own order that stands in the group's zone; one that does not answer is passed over, and tried again by reports, for which nobody waits.

Directory.Doubt reads the slots again without doubting an owner; answers say for how long they were held, which is not counted as the way (askPeer).

--- a/internal/directory/layout.go
+++ b/internal/directory/layout.go
@@ -56,3 +56,13 @@
 	}
 	return int(xxhash.Sum64String(region) % uint64(len(l.regions)))
 }
+
+// Of lists the slots of a region.
+func (l Layout) Of(region string) []int {
+	first := l.index(region) * slots
+	listed := make([]int, slots)
+	for offset := range listed {
+		listed[offset] = first + offset
+	}
+	return listed
+}
--- a/internal/directory/slots.go
+++ b/internal/directory/slots.go
@@ -82,6 +82,11 @@
 	known.last = now
 	d.suspicions[slot] = known
 	d.mutex.Unlock()
+	d.Doubt()
+}
+
+// Doubt notes that another process sees the slots otherwise: they are read again before long.
+func (d *Directory) Doubt() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/room"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/tenant"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
@@ -39,6 +40,8 @@
 	Admit func(bytes int64) (release func(), ok bool)
 	// Finder finds workers that this node does not keep; nil: it keeps all.
 	Finder Finder
+	// Room finds workers that have room; nil: nobody keeps account of it.
+	Room Room
 	// Prober asks workers whether they are warm where nothing else tells; nil: nobody does.
 	Prober Prober
 	// Isolated reports whether this node reaches neither the table nor nodes elsewhere;
@@ -112,6 +115,9 @@
 	sends     int
 	tried     []string // what became of each send, for the log
 	declines  int
+	place     *room.Place    // that the request has at a worker
+	found     room.Found     // where there was room, for the log
+	roomWait  time.Duration  // how long the request has waited for room
 	coldAsks  int            // cold workers asked for since all were last considered
 	coldWait  time.Duration  // until a cold worker may take a request; 0: none was denied
 	worker    string         // the last one asked
@@ -132,6 +138,7 @@
 func (f *Forwarder) Serve(ctx context.Context, request *Request, out Responder) {
 	x := &exchange{Forwarder: f, request: request, out: out, begun: time.Now(), client: ctx, lastEvent: request.Resume}
 	refusal := x.serve(ctx)
+	x.leavePlace()
 	x.releaseUnused()
 	switch {
 	case refusal == nil || x.answered:
@@ -191,8 +198,12 @@
 		if !x.mayRunElsewhere() {
 			only = x.attempts.counted
 		}
+		if worker := x.findRoom(ctx, only); worker != nil {
+			return worker, nil
+		}
 		worker, err := x.options.Workers.Choose(x.query(only))
 		if err == nil {
+			x.takePlace(worker)
 			return worker, nil
 		}
 		if refusal := x.closed(x.service, only); refusal != nil {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -39,9 +39,11 @@
 			return refusal
 		}
 		if !cleared {
+			x.leavePlace()
 			continue
 		}
 		done, refusal := x.tryPlain(ctx, worker)
+		x.leavePlace()
 		if done {
 			return refusal
 		}
@@ -167,6 +169,7 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, wholeBytes))
 	answer.Close(true)
 	worker.Declined(time.Now())
+	x.place.Declined()
 	x.noteTried(worker, "declined")
 	x.declines++
 	x.exclude(worker.Key())
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -50,9 +50,11 @@
 			return refusal
 		}
 		if !cleared {
+			x.leavePlace()
 			continue
 		}
 		done, refusal := x.tryStream(ctx, worker, perEvent)
+		x.leavePlace()
 		if done {
 			return refusal
 		}
--- a/internal/room/account.go
+++ b/internal/room/account.go
@@ -20,6 +20,8 @@
 	// maxNodes bounds the nodes of an account, and maxGrants what each of them is given out.
 	maxNodes  = 2048
 	maxGrants = 64
+	// sweepEvery is the least time between two looks for what has lapsed.
+	sweepEvery = 20 * time.Millisecond
 	// heldGain weighs what nodes tell newly of how long places are held.
 	heldGain = 1.0 / 8
 )
@@ -40,7 +42,8 @@
 	nodes    map[string]*teller
 	taken    map[string]load      // by worker
 	declined map[string]time.Time // until when a worker counts as full
-	held     time.Duration        // how long a place is usually held; 0: not known
+	swept    time.Time
+	held     time.Duration // how long a place is usually held; 0: not known
 }
 
 // load is what a worker has.
@@ -150,6 +153,10 @@
 
 // sweep forgets what has lapsed.
 func (a *Account) sweep(now time.Time) {
+	if now.Sub(a.swept) < sweepEvery {
+		return
+	}
+	a.swept = now
 	for process, known := range a.nodes {
 		a.dropGrants(known, now)
 		if now.Before(known.until) {
--- a/internal/room/tally.go
+++ b/internal/room/tally.go
@@ -99,7 +99,7 @@
 }
 
 // Unsaid notes that what was told last was not heard.
-func (t *Tally) Unsaid() { t.changed = true }
+func (t *Tally) Unsaid(now time.Time) { t.changed, t.told = true, now }
 
 // Hear takes in a keeper's word.
 func (t *Tally) Hear(busy float64, now time.Time) { t.busy, t.word = busy, now }
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -22,6 +22,8 @@
 	limits forward.Limits
 	// allowance lends requests to cold workers; nil likewise.
 	allowance forward.Allowance
+	// room finds workers with room; nil likewise.
+	room *rooms
 }
 
 // newCore returns the core of a node, and sets what other nodes are answered from it.
@@ -50,6 +52,7 @@
 		budgets: budgets, history: keeper, programs: programs, neighbours: others, table: table,
 		limits:    newLimits(options, peers, knowledge, programs),
 		allowance: newAllowance(options, peers, knowledge, programs),
+		room:      newRooms(options, peers, knowledge, programs),
 	}
 }
 
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -19,6 +19,7 @@
 type Metrics struct {
 	Registry *prometheus.Registry
 	Requests *forward.Metrics
+	Room     *RoomMetrics
 	Dials    prometheus.Counter
 	Looks    prometheus.Counter // whether a worker takes connections
 	Relayed  prometheus.Counter // calls to the table that other nodes were asked for
@@ -53,6 +54,7 @@
 	m := &Metrics{
 		Registry: registry,
 		Requests: forward.NewMetrics(registry),
+		Room:     newRoomMetrics(registry),
 		Dials:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_connections_total", Help: "New connections to workers."}),
 		Looks:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_looks_total", Help: "Looks whether a silent worker takes connections."}),
 	}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -14,6 +14,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
+	"github.com/cloverwheel/cloverwheel/internal/room"
 	"github.com/cloverwheel/cloverwheel/internal/silence"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 	"github.com/cloverwheel/cloverwheel/internal/warmup"
@@ -36,6 +37,8 @@
 	methodLend = "quota.lend"
 	// methodLendCold asks the owner of a cold worker's slot for one request to that worker.
 	methodLendCold = "warmup.lend"
+	// methodRoom tells the keeper of a group of workers what runs there, and asks it for a place.
+	methodRoom = "room.report"
 	// methodProof asks a node since when its configuration is known to be the newest.
 	methodProof = "configuration.proof"
 )
@@ -191,6 +194,17 @@
 	context.AfterFunc(call, func() { a.late.Add(-1) })
 }
 
+// waited is an answer that may have been held back for a while.
+type waited interface{ Waited() time.Duration }
+
+// waitedIn is for how long an answer was held back, which tells nothing of the way.
+func waitedIn(answer any) time.Duration {
+	if held, ok := answer.(waited); ok {
+		return held.Waited()
+	}
+	return 0
+}
+
 // askPeer asks a process. It returns when ctx ends; an answer that comes later is only
 // noted as such.
 func askPeer[Answer, Request any](ctx context.Context, a *asker, asked budget.Holder, method string, request Request) (Answer, error) {
@@ -206,7 +220,7 @@
 		begun := time.Now()
 		answer, err := peer.Invoke[Answer](detached, a.transport, peer.Address(asked.Address), method, request)
 		if err == nil {
-			a.ways.Observe(locality.ZoneOf(asked.Process), time.Since(begun))
+			a.ways.Observe(locality.ZoneOf(asked.Process), time.Since(begun)-waitedIn(answer))
 			a.note(asked, nil)
 		}
 		results <- result{answer, err}
@@ -260,6 +274,11 @@
 	return askPeer[warmup.Answer](ctx, a, owner, methodLendCold, request)
 }
 
+// Room implements room.Peers.
+func (a *asker) Room(ctx context.Context, keeper budget.Holder, request room.Request) (room.Answer, error) {
+	return askPeer[room.Answer](ctx, a, keeper, methodRoom, request)
+}
+
 // Chain implements forward.Neighbours.
 func (a *asker) Chain(ctx context.Context, holder budget.Holder, turn string) ([]*history.Turn, error) {
 	if !mayCarry(ctx, a.transport.vantage.Places, holder) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -117,6 +117,7 @@
 	table     tableWays
 	programs  *directory.Directory // nil: this node does not talk to others
 	peers     *peers
+	room      *rooms // nil likewise
 	clients   *clients
 	drain     chan struct{}
 	inFlight  atomic.Int64 // bytes of bodies
@@ -156,6 +157,7 @@
 		table:     core.table,
 		programs:  core.programs,
 		peers:     peers,
+		room:      core.room,
 		foreign:   foreignEntries{},
 		finder:    finder,
 		clients:   newClients(options.Settings.Descriptors),
@@ -179,6 +181,7 @@
 			Admit:      func(bytes int64) (func(), bool) { return s.Admit(bytes) },
 			Finder:     finder,
 			Prober:     options.Prober,
+			Room:       core.room.forRequests(),
 			Metrics:    options.Metrics.Requests,
 			Logger:     options.Logger,
 		}),
@@ -186,6 +189,7 @@
 	knowledge.attach(s, core)
 	s.list = s.newList()
 	finder.list, finder.services = s.list, s.targeted
+	core.room.attach(s)
 	return s
 }
 
@@ -265,7 +269,7 @@
 	}
 	runs := []func(context.Context){s.sweeper.Run, s.workers.Run, s.notePauses, s.knowledge.run, s.followIsolation}
 	if s.programs != nil {
-		runs = append(runs, s.programs.Run)
+		runs = append(runs, s.programs.Run, s.room.reporter.Run)
 	}
 	for _, run := range runs {
 		group.Go(func() error {
