Room: tests of the account and of lost keepers; a word counts only once all nodes were heard

Tests first showed: after a keeper was killed, a node that the next one told of itself alone took the group for idle (1 of 16 places), and went blind for up to 10 s. An answer now says whether the account has heard of all nodes (Settled); only then its busy share is believed. Questions of the same rank are served in the order in which they came (a tie put the newer first).

--- a/internal/room/decide.go
+++ b/internal/room/decide.go
@@ -20,9 +20,9 @@
 // Decide says where a request goes now; ahead is how many others wait before it. Nothing is given
 // out by it.
 func (a *Account) Decide(ask Ask, ahead int, now time.Time) Answer {
-	answer := Answer{Keeper: true, Busy: a.Busy(), Waiting: ahead}
+	answer := Answer{Keeper: true, Busy: a.Busy(), Settled: a.Settled(now), Waiting: ahead}
 	switch {
-	case !a.Settled(now):
+	case !answer.Settled:
 		answer.Reason = ReasonNew
 		return answer
 	case len(a.members) == 0:
--- a/internal/room/desk.go
+++ b/internal/room/desk.go
@@ -10,6 +10,7 @@
 type Desk struct {
 	account *Account
 	waiting queue
+	asked   uint64 // questions so far
 }
 
 // NewDesk returns a desk that has heard nothing.
@@ -27,8 +28,9 @@
 	Sequence uint64 // of the report that came with it
 	Ask      Ask
 
-	rank time.Time // the earliest goes first
-	came time.Time
+	rank   time.Time // the earliest goes first
+	came   time.Time
+	number uint64 // of those asked at the desk
 }
 
 // Tell takes in a report. It returns the questions that have got places by it.
@@ -39,7 +41,8 @@
 
 // Ask answers a question, or holds it: then it will be among those served, unless it is given up.
 func (d *Desk) Ask(question *Question, now time.Time) (answer Answer, held bool) {
-	question.rank, question.came = rank(question.Ask.Program, now), now
+	d.asked++
+	question.rank, question.came, question.number = rank(question.Ask.Program, now), now, d.asked
 	ahead := d.waiting.ahead(question)
 	answer = d.decide(question, ahead, now)
 	if answer.Outcome != Wait || question.Ask.Patience <= 0 || len(d.waiting) >= maxWaiting {
@@ -105,8 +108,10 @@
 // SetMembers replaces the workers that may get requests.
 func (d *Desk) SetMembers(members []Member) { d.account.SetMembers(members) }
 
-// Busy is the share of the group's places that are taken.
-func (d *Desk) Busy() float64 { return d.account.Busy() }
+// Word is what a node is told that asks nothing.
+func (d *Desk) Word(now time.Time) Answer {
+	return Answer{Keeper: true, Busy: d.account.Busy(), Settled: d.account.Settled(now), Waiting: len(d.waiting)}
+}
 
 // Waiting is how many questions are held.
 func (d *Desk) Waiting() int { return len(d.waiting) }
--- a/internal/room/keeper.go
+++ b/internal/room/keeper.go
@@ -113,7 +113,7 @@
 	desk.SetMembers(members)
 	desk.tell(report, now)
 	if request.Ask == nil {
-		return Answer{Keeper: true, Busy: desk.Busy(), Waiting: desk.Waiting()}, nil, nil
+		return desk.Word(now), nil, nil
 	}
 	question := &Question{From: report.From, Sequence: report.Sequence, Ask: *request.Ask}
 	answer, held := desk.Ask(question, now)
--- a/internal/room/load_test.go
+++ b/internal/room/load_test.go
@@ -265,7 +265,9 @@
 	p.asked[question] = func(answer Answer) {
 		p.after(p.hop, func() {
 			tally.Answered(question.Sequence)
-			tally.Hear(answer.Busy, p.now)
+			if answer.Settled {
+				tally.Hear(answer.Busy, p.now)
+			}
 			if answer.Outcome != Go {
 				p.way = blind
 				index := p.guess(one, exclude)
@@ -345,8 +347,12 @@
 	report := node.tallies[zone].Report(node.name, p.now)
 	p.after(p.hop, func() {
 		p.serve(p.desks[zone].Tell(report, p.now))
-		busy := p.desks[zone].Busy()
-		p.after(p.hop, func() { node.tallies[zone].Hear(busy, p.now) })
+		word := p.desks[zone].Word(p.now)
+		p.after(p.hop, func() {
+			if word.Settled {
+				node.tallies[zone].Hear(word.Busy, p.now)
+			}
+		})
 	})
 }
 
--- a/internal/room/queue.go
+++ b/internal/room/queue.go
@@ -43,7 +43,7 @@
 
 // compareWaiting orders questions.
 func compareWaiting(a, b *Question) int {
-	return cmp.Or(a.rank.Compare(b.rank), a.came.Compare(b.came))
+	return cmp.Or(a.rank.Compare(b.rank), cmp.Compare(a.number, b.number))
 }
 
 // remove takes a question out. It reports whether it was there.
--- a/internal/room/reporter.go
+++ b/internal/room/reporter.go
@@ -247,7 +247,7 @@
 	if r.suspects.heard(keeper.Process) {
 		r.options.Logger.WithField("keeper", keeper.Process).Info("keeper of room answers again")
 	}
-	if tally, known := r.tallies[group]; known && answer.Keeper {
+	if tally, known := r.tallies[group]; known && answer.Keeper && answer.Settled {
 		tally.Hear(answer.Busy, time.Now())
 	}
 }
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -86,7 +86,9 @@
 	After   time.Duration // with Wait and Refuse
 	Reason  Reason        // for the log: why so
 	// Busy is the share of the group's places that are taken, above 1 if requests wait at workers.
-	Busy float64
+	// It counts only if Settled: the keeper has heard of all nodes.
+	Busy    float64
+	Settled bool
 	// Waiting is how many questions the keeper holds.
 	Waiting int
 	// HeldFor is how long the keeper has held this one.
