Room: who is full at home goes elsewhere only where that is sooner

Now both ways are compared by when the place is had and the context read, at 50 tokens a millisecond (100 before); while nobody has a free place a request may wait for its home.

--- a/internal/room/decide.go
+++ b/internal/room/decide.go
@@ -7,7 +7,7 @@
 
 const (
 	// readPerMillisecond is a cautious guess of how many tokens a worker reads in a millisecond.
-	readPerMillisecond = 100
+	readPerMillisecond = 50
 	// overbooked is how many requests a worker may have beyond its places: one, which takes the
 	// place of another whose end has not been told yet.
 	overbooked = 1
@@ -40,15 +40,21 @@
 	return answer
 }
 
-// pick chooses a worker; empty: none has room.
+// pick chooses a worker; empty: none has room, or none that is worth going to.
 func (a *Account) pick(ask Ask, now time.Time) (string, Reason) {
 	best, room := a.roomiest(ask, now)
-	home := a.home(ask, now)
+	if home := a.home(ask, now); home != nil {
+		sooner := best == nil || a.untilPlace(*home) <= a.untilPlace(*best)+reading(ask.Fresh)
+		switch {
+		case a.fits(*home, ask, 0):
+			return home.Worker, ReasonHome
+		case sooner && a.fits(*home, ask, overbooked):
+			return home.Worker, ReasonSooner
+		case sooner && room <= 0:
+			return "", ReasonFull
+		}
+	}
 	switch {
-	case home != nil && a.fits(*home, ask, 0):
-		return home.Worker, ReasonHome
-	case home != nil && a.fits(*home, ask, overbooked) && a.untilPlace(*home) <= reading(ask.Fresh):
-		return home.Worker, ReasonSooner
 	case best == nil:
 		return "", ReasonFull
 	case room > 0:
