--- a/internal/room/reporter.go
+++ b/internal/room/reporter.go
@@ -303,3 +303,15 @@
 	tally.learnt = nil
 	return learnt
 }
+
+// Holds is how many places the requests of this node have.
+func (r *Reporter) Holds() (places int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, tally := range r.tallies {
+		for _, present := range tally.running {
+			places += present.requests
+		}
+	}
+	return places
+}
