--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -14,6 +14,8 @@
 	"github.com/cloverwheel/cloverwheel/internal/evacuation"
 	"github.com/cloverwheel/cloverwheel/internal/freshness"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
+	"github.com/cloverwheel/cloverwheel/internal/room"
+	"github.com/cloverwheel/cloverwheel/internal/standing"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 )
 
@@ -30,6 +32,11 @@
 		methodProof + "-answer-1":    proofAnswer{Proof: freshness.Proof{Revision: 7, Age: time.Second}, Row: row, Evacuations: evacuation.Snapshot{}},
 		methodCommit + "-request-1":  commitRequest{Process: "p2", Transaction: store.Transaction{Conditions: []store.Condition{{Key: row.Key, Version: 7}}, Put: []store.Row{row}, Remove: []store.Key{row.Key}}},
 		methodHandOver + "-answer-1": budget.HandOverAnswer{},
+		methodRoom + "-request-1": room.Request{Process: "p2", Passed: true, Report: room.Report{
+			From: "p1", Sequence: 9, Group: room.Group{Service: "s", Zone: "a", Number: 1}, Running: []room.Running{{Worker: "w@1", Requests: 2, Tokens: 300}},
+			Lasts: time.Second, Pending: []uint64{8}, Ended: 3, Held: time.Second, Declined: []string{"x@1"},
+		}, Ask: &room.Ask{Home: "w@1", Fresh: 100, Tokens: 200, Exclude: []string{"y@1"}, Patience: time.Millisecond, Program: standing.Program{Key: "k", Timed: true, Finish: time.Second}}},
+		methodRoom + "-answer-1": room.Answer{Keeper: true, Outcome: room.Go, Worker: "w@1", After: time.Second, Reason: room.ReasonHome, Busy: 0.5, Settled: true, Waiting: 2, HeldFor: time.Millisecond},
 	}
 }
 
--- /dev/null
+++ b/internal/server/room_test.go
@@ -0,0 +1,103 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/locality"
+	"github.com/cloverwheel/cloverwheel/internal/room"
+	"github.com/cloverwheel/cloverwheel/internal/route"
+)
+
+// testRooms is those of a node in zone a that knows so many workers in each zone.
+func testRooms(perZone map[string]int) *rooms {
+	places := locality.NewMap(map[string]string{"a": "one", "b": "one", "c": "other"})
+	r := &rooms{
+		vantage: locality.Vantage{Places: places, Zone: "a"},
+		workers: backend.NewRegistry(backend.Options{Zone: "a", Places: places}),
+		service: func(name string) route.Service {
+			if name == "plain" {
+				return route.Service{Name: name}
+			}
+			return route.Service{Name: name, Places: 6, Memory: 1000}
+		},
+		whole: func() bool { return true },
+	}
+	for zone, count := range perZone {
+		for index := range count {
+			for _, service := range []string{"s", "plain"} {
+				id := fmt.Sprint(service, zone, index)
+				r.workers.Put(backend.Record{ID: id, Service: service, Address: id, Zone: zone, Revision: 1})
+			}
+		}
+	}
+	return r
+}
+
+// TestEachWorkerIsInOneGroup, and groups are neither large nor many.
+func TestEachWorkerIsInOneGroup(t *testing.T) {
+	for _, count := range []int{1, 11, 16, 17, 45, 140, 560} {
+		r := testRooms(map[string]int{"a": count, "b": 3})
+		seen := map[string]int{}
+		groups := room.Groups(count)
+		require.LessOrEqual(t, groups, max(1, count/8))
+		for number := range groups {
+			members, ok := r.members(room.Group{Service: "s", Zone: "a", Number: number})
+			require.True(t, ok)
+			require.LessOrEqual(t, len(members), 3*16/2)
+			for _, member := range members {
+				seen[member.Worker]++
+				require.Equal(t, 6, member.Places)
+				require.Equal(t, 1000, member.Memory)
+				group, ok := r.GroupOf("s", member.Worker)
+				require.True(t, ok)
+				require.Equal(t, number, group.Number)
+			}
+		}
+		require.Len(t, seen, count)
+	}
+}
+
+// TestRoomIsKeptOnlyWhereItIsCalledFor: the configuration says how many places workers have, and this
+// node knows all of them.
+func TestRoomIsKeptOnlyWhereItIsCalledFor(t *testing.T) {
+	r := testRooms(map[string]int{"a": 3})
+	_, ok := r.GroupIn("s", "a", "key")
+	require.True(t, ok)
+	_, ok = r.GroupIn("plain", "a", "key")
+	require.False(t, ok)
+	_, ok = r.GroupIn("s", "c", "key")
+	require.False(t, ok, "nobody is there")
+	_, ok = r.GroupOf("s", "plaina0")
+	require.False(t, ok, "of another service")
+	r.whole = func() bool { return false }
+	_, ok = r.GroupIn("s", "a", "key")
+	require.False(t, ok)
+	_, ok = r.members(room.Group{Service: "s", Zone: "a"})
+	require.False(t, ok)
+}
+
+// TestWorkersThatTakeNothingAreNoMembers, and those that this node has just seen fail are shunned.
+func TestWorkersThatTakeNothingAreNoMembers(t *testing.T) {
+	r := testRooms(map[string]int{"a": 3})
+	r.workers.Put(backend.Record{ID: "sa1", Service: "s", Address: "sa1", Zone: "a", Draining: true, Revision: 2})
+	members, _ := r.members(room.Group{Service: "s", Zone: "a"})
+	require.Len(t, members, 2)
+	worker, _ := r.workers.WorkerOf("sa0")
+	require.Empty(t, r.Shunned(room.Group{Service: "s", Zone: "a"}))
+	worker.Declined(time.Now())
+	require.Equal(t, []string{"sa0"}, r.Shunned(room.Group{Service: "s", Zone: "a"}))
+}
+
+// TestOtherZonesOfTheRegion are those that a request may go to for room.
+func TestOtherZonesOfTheRegion(t *testing.T) {
+	r := testRooms(map[string]int{"a": 1, "b": 1, "c": 1})
+	others := r.Others("s", "a")
+	require.Len(t, others, 1)
+	require.Equal(t, "b", others[0].Zone)
+	require.Positive(t, others[0].RoundTrip)
+}
