--- a/internal/room/find.go
+++ b/internal/room/find.go
@@ -147,7 +147,8 @@
 	switch answer.Outcome {
 	case Go:
 		found.Source = SourceKeeper
-		found.Place = r.begin(group, answer.Worker, wanted.Tokens, time.Now())
+		tally.BeginGranted(answer.Worker, wanted.Tokens)
+		found.Place = &Place{reporter: r, group: group, worker: answer.Worker, tokens: wanted.Tokens, since: time.Now()}
 	case Unknown:
 		found.Source = SourceNew
 	default:
--- a/internal/room/load_test.go
+++ b/internal/room/load_test.go
@@ -255,7 +255,7 @@
 		p.way = blind
 		index := p.guess(one, exclude)
 		p.way = kept
-		p.begin(one, index)
+		p.begin(one, index, false)
 		p.send(one, index, exclude)
 		return
 	}
@@ -273,12 +273,12 @@
 				p.way = blind
 				index := p.guess(one, exclude)
 				p.way = kept
-				p.begin(one, index)
+				p.begin(one, index, false)
 				p.send(one, index, exclude)
 				return
 			}
 			index := slices.IndexFunc(p.workers, func(w *loadWorker) bool { return w.name == answer.Worker })
-			p.begin(one, index)
+			p.begin(one, index, true)
 			p.send(one, index, exclude)
 		})
 	}
@@ -314,13 +314,17 @@
 	return slices.ContainsFunc(p.workers, func(w *loadWorker) bool { return w.zone == zone && w.running < loadPlaces })
 }
 
-func (p *play) begin(one *turn, index int) {
+func (p *play) begin(one *turn, index int, granted bool) {
 	if index < 0 {
 		return
 	}
 	one.placed = p.now
 	tally := one.node.tallies[p.workers[index].zone]
-	tally.Begin(p.workers[index].name, 0)
+	if granted {
+		tally.BeginGranted(p.workers[index].name, 0)
+	} else {
+		tally.Begin(p.workers[index].name, 0)
+	}
 	p.tellLater(one.node, p.workers[index].zone)
 }
 
--- a/internal/room/reporter.go
+++ b/internal/room/reporter.go
@@ -21,8 +21,8 @@
 	longestAskWait = 60 * time.Millisecond
 	// tellWait bounds a report for which nobody waits.
 	tellWait = 300 * time.Millisecond
-	// tellTick is how often it is looked whether a keeper is to be told.
-	tellTick = 10 * time.Millisecond
+	// tellTick is how often it is looked at least whether a keeper is to be told.
+	tellTick = 50 * time.Millisecond
 	// maxTallies bounds the groups in which a node has something running.
 	maxTallies = 512
 )
@@ -83,6 +83,7 @@
 // Reporter tells keepers what this node has running, and asks them for places.
 type Reporter struct {
 	options ReporterOptions
+	wake    chan struct{} // something has changed that a keeper should hear of
 
 	mutex    sync.Mutex
 	tallies  map[Group]*told
@@ -99,7 +100,7 @@
 
 // NewReporter returns a reporter that has nothing running.
 func NewReporter(options ReporterOptions) *Reporter {
-	return &Reporter{options: options, tallies: map[Group]*told{}, suspects: suspects{}}
+	return &Reporter{options: options, wake: make(chan struct{}, 1), tallies: map[Group]*told{}, suspects: suspects{}}
 }
 
 // Begin counts a request at a worker until its place is ended. It is nil if no room is kept there.
@@ -108,22 +109,27 @@
 	if !ok {
 		return nil
 	}
+	defer r.changed()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.begin(group, worker, tokens, time.Now())
-}
-
-// begin is Begin. The caller holds the mutex.
-func (r *Reporter) begin(group Group, worker string, tokens int, now time.Time) *Place {
 	tally := r.tally(group)
 	if tally == nil {
 		return nil
 	}
 	tally.Begin(worker, tokens)
-	return &Place{reporter: r, group: group, worker: worker, tokens: tokens, since: now}
+	return &Place{reporter: r, group: group, worker: worker, tokens: tokens, since: time.Now()}
+}
+
+// changed lets Run look whether a keeper is to be told.
+func (r *Reporter) changed() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (r *Reporter) end(place *Place) {
+	defer r.changed()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if tally, ok := r.tallies[place.group]; ok {
@@ -132,6 +138,7 @@
 }
 
 func (r *Reporter) declined(place *Place) {
+	defer r.changed()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if tally, ok := r.tallies[place.group]; ok {
@@ -151,29 +158,43 @@
 
 // Run tells keepers what has changed, until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
-	for wait.For(ctx, tellTick) == nil {
-		for _, group := range r.due(time.Now()) {
+	for ctx.Err() == nil {
+		due, next := r.due(time.Now())
+		for _, group := range due {
 			go r.tell(ctx, group)
 		}
+		timer := time.NewTimer(next)
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
 }
 
-// due lists the groups whose keepers are to be told, and forgets those in which nothing is left.
-func (r *Reporter) due(now time.Time) (due []Group) {
+// due lists the groups whose keepers are to be told, and forgets those in which nothing is left. next
+// is when to look again.
+func (r *Reporter) due(now time.Time) (due []Group, next time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	next = tellTick
 	for group, tally := range r.tallies {
 		if tally.Idle(now) {
 			delete(r.tallies, group)
 			continue
 		}
 		at, ok := tally.Due()
-		if ok && !tally.telling && !now.Before(at) {
+		switch {
+		case !ok || tally.telling:
+		case now.Before(at):
+			next = min(next, at.Sub(now))
+		default:
 			tally.telling = true
 			due = append(due, group)
 		}
 	}
-	return due
+	return due, next
 }
 
 // tell tells a group's keeper what runs. A keeper that did not answer is tried again by this.
@@ -187,6 +208,7 @@
 		answer, ok = r.send(ctx, group, keeper, request, true)
 		r.options.Told(ok && answer.Keeper)
 	}
+	defer r.changed()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	tally, known := r.tallies[group]
--- a/internal/room/tally.go
+++ b/internal/room/tally.go
@@ -7,9 +7,11 @@
 
 const (
 	// tellBusy and tellCalm are the least time between two reports of a node that come alone, while
-	// the group is busy and while it is not.
-	tellBusy = 30 * time.Millisecond
-	tellCalm = 400 * time.Millisecond
+	// the group is busy and while it is not. tellGranted is that for a place that the keeper has
+	// given out itself: well before it would take it for lost.
+	tellBusy    = 10 * time.Millisecond
+	tellGranted = 150 * time.Millisecond
+	tellCalm    = 400 * time.Millisecond
 	// renewAfter is when a report is told anew of which nothing has changed, and reportLasts how
 	// long it counts: two in a row may be lost.
 	renewAfter  = 300 * time.Millisecond
@@ -35,7 +37,8 @@
 	ended    int
 	held     time.Duration
 	declined []string
-	changed  bool // since the last report
+	changed  bool // since the last report, in what the keeper does not know
+	granted  bool // likewise, in what it has given out
 	told     time.Time
 	busy     float64
 	word     time.Time // when the keeper last said how busy the group is; zero: never
@@ -44,12 +47,22 @@
 // NewTally returns the tally of a node that has nothing running.
 func NewTally(group Group) *Tally { return &Tally{group: group, running: map[string]load{}} }
 
-// Begin counts a request at a worker.
-func (t *Tally) Begin(worker string, tokens int) { t.add(worker, 1, tokens) }
+// Begin counts a request at a worker that this node has chosen.
+func (t *Tally) Begin(worker string, tokens int) {
+	t.add(worker, 1, tokens)
+	t.changed = true
+}
+
+// BeginGranted counts one at a worker that the keeper has named.
+func (t *Tally) BeginGranted(worker string, tokens int) {
+	t.add(worker, 1, tokens)
+	t.granted = true
+}
 
 // End takes a request off that has held its place for a while.
 func (t *Tally) End(worker string, tokens int, held time.Duration) {
 	t.add(worker, -1, -tokens)
+	t.changed = true
 	t.ended++
 	t.held += held
 }
@@ -58,7 +71,6 @@
 	present := t.running[worker]
 	present.requests += requests
 	present.tokens += tokens
-	t.changed = true
 	if present.requests <= 0 {
 		delete(t.running, worker)
 		return
@@ -84,7 +96,7 @@
 	for worker, present := range t.running {
 		report.Running = append(report.Running, Running{Worker: worker, Requests: present.requests, Tokens: present.tokens})
 	}
-	t.ended, t.held, t.declined, t.changed, t.told = 0, 0, nil, false, now
+	t.ended, t.held, t.declined, t.changed, t.granted, t.told = 0, 0, nil, false, false, now
 	return report
 }
 
@@ -95,7 +107,7 @@
 // before.
 func (t *Tally) Answered(sequence uint64) {
 	t.pending = slices.DeleteFunc(t.pending, func(other uint64) bool { return other == sequence })
-	t.changed = true
+	t.granted = true
 }
 
 // Unsaid notes that what was told last was not heard.
@@ -128,6 +140,8 @@
 	switch {
 	case t.changed && t.busy >= calmBelow:
 		return t.told.Add(tellBusy), true
+	case t.granted:
+		return t.told.Add(tellGranted), true
 	case t.changed:
 		return t.told.Add(tellCalm), true
 	case len(t.running) > 0:
@@ -139,5 +153,5 @@
 
 // Idle reports whether the tally holds nothing that is worth keeping.
 func (t *Tally) Idle(now time.Time) bool {
-	return len(t.running) == 0 && len(t.pending) == 0 && !t.changed && now.Sub(t.word) > idleWordLasts
+	return len(t.running) == 0 && len(t.pending) == 0 && !t.changed && !t.granted && now.Sub(t.word) > idleWordLasts
 }
