Room: nobody is passed over for ever, and a new keeper listens until all nodes have found it

A test found that a request without a home waited without end beside a steady stream of those whose home had room: once the first in line is 250 ms behind its moment, it goes first.

A request waits for room for up to 0.35 of its time, 0.9 s at most (0.2 and 0.4 s): beyond, it queues at a worker, where nobody knows its slack.

--- a/internal/forward/room.go
+++ b/internal/forward/room.go
@@ -23,8 +23,8 @@
 const (
 	// A request waits for room for a share of the time that it has left, at most longestRoomWait;
 	// then it queues at a worker.
-	roomWaitShare   = 0.2
-	longestRoomWait = 400 * time.Millisecond
+	roomWaitShare   = 0.35
+	longestRoomWait = 900 * time.Millisecond
 )
 
 // findRoom asks where there is room for the request; nil: this node is to choose by itself. A
--- a/internal/room/account.go
+++ b/internal/room/account.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// settling is how long a new account listens before it tells: for longer than busy nodes
-	// take between two reports.
-	settling = 400 * time.Millisecond
+	// settling is how long a new account listens before it tells: for longer than nodes take to
+	// find out that the keeper before does not answer, by the next report that they renew.
+	settling = renewAfter + tellWait + 100*time.Millisecond
 	// silentFor is how long an account may hear nothing before it counts as new.
 	silentFor = time.Second
 	// grantLasts is how long a place counts as given out without a report that covers it.
--- a/internal/room/account_test.go
+++ b/internal/room/account_test.go
@@ -311,6 +311,34 @@
 	require.Equal(t, "calm", served[0].Question.From)
 }
 
+// TestNobodyIsPassedOverForEver by those whose home has room: one without a home waits beside a steady
+// stream of them.
+func TestNobodyIsPassedOverForEver(t *testing.T) {
+	desk, now := settledDesk(Member{Worker: "w", Places: 1})
+	full := Running{Worker: "w", Requests: 2}
+	desk.Tell(running("busy", 1, full), now)
+	hold := func(from string, sequence uint64, ask Ask) {
+		ask.Patience = time.Minute
+		desk.Tell(running(from, sequence), now)
+		_, held := desk.Ask(&Question{From: from, Sequence: sequence, Ask: ask}, now)
+		require.True(t, held)
+	}
+	begun := now
+	hold("begins", 1, Ask{Program: standing.Program{Timed: true, Finish: 100 * time.Millisecond}})
+	for sequence := uint64(2); ; sequence += 2 {
+		now = now.Add(20 * time.Millisecond)
+		hold("stays", sequence, Ask{Home: "w", Fresh: 1000, Program: standing.Program{Timed: true, Finish: 50 * time.Millisecond}})
+		served := desk.Tell(running("busy", sequence, Running{Worker: "w", Requests: 1}), now)
+		require.Len(t, served, 1)
+		if served[0].Question.From == "begins" {
+			break
+		}
+		require.LessOrEqual(t, now.Sub(begun), 100*time.Millisecond+passedFor)
+		desk.Tell(running("busy", sequence+1, full), now)
+		desk.Tell(running("stays", sequence+1), now)
+	}
+}
+
 // TestAWorkerThatDeclinesIsFull, whatever the account says, for a moment.
 func TestAWorkerThatDeclinesIsFull(t *testing.T) {
 	desk, now := settledDesk(Member{Worker: "w", Places: 6})
--- a/internal/room/desk.go
+++ b/internal/room/desk.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// homeAmong is among how many of those who wait the ones come first whose context lies at a worker
-// that has room: elsewhere it would be read again.
-const homeAmong = 24
+const (
+	// homeAmong is among how many of those who wait the ones come first whose context lies at a worker
+	// that has room: elsewhere it would be read again.
+	homeAmong = 24
+	// passedFor is for how long after the moment by which it has to begin one may be passed over so.
+	passedFor = 250 * time.Millisecond
+)
 
 // Desk is the account of a group and those who wait for its places. It knows no clock.
 type Desk struct {
@@ -64,9 +68,16 @@
 // serve gives places to those who wait: the first of them at home, where that has room, then all
 // in their order.
 func (d *Desk) serve(now time.Time) (served []Served) {
+	if len(d.waiting) == 0 {
+		return nil
+	}
 	atHome := func(question *Question) bool { return d.account.homeHasRoom(question.Ask, now) }
 	anywhere := func(*Question) bool { return true }
-	served = d.serveThose(nil, min(len(d.waiting), homeAmong), atHome, now)
+	among := min(len(d.waiting), homeAmong)
+	if now.Sub(d.waiting[0].rank) > passedFor {
+		among = 0
+	}
+	served = d.serveThose(nil, among, atHome, now)
 	return d.serveThose(served, len(d.waiting), anywhere, now)
 }
 
--- a/internal/room/reporter.go
+++ b/internal/room/reporter.go
@@ -19,8 +19,9 @@
 	// longestAskWait, and as long as it may hold the question. It usually answers in 1 to 10 ms.
 	askWait        = 20 * time.Millisecond
 	longestAskWait = 60 * time.Millisecond
-	// tellWait bounds a report for which nobody waits.
-	tellWait = 300 * time.Millisecond
+	// A report for which nobody waits is given longer: it is lost for sure, then.
+	tellWait        = 100 * time.Millisecond
+	longestTellWait = 300 * time.Millisecond
 	// tellTick is how often it is looked at least whether a keeper is to be told.
 	tellTick = 50 * time.Millisecond
 	// maxTallies bounds the groups in which a node has something running.
@@ -202,7 +203,7 @@
 	keeper, passed, ok := r.options.Slots.keeper(group, r.untried)
 	var answer Answer
 	if ok {
-		ctx, cancel := context.WithTimeout(ctx, tellWait)
+		ctx, cancel := context.WithTimeout(ctx, r.options.Patience.Of(keeper.Process, tellWait, longestTellWait))
 		defer cancel()
 		request, _ := r.request(group, keeper, passed, nil)
 		answer, ok = r.send(ctx, group, keeper, request, true)
