Room: experience rides on reports, and workers to be avoided are offered to nobody

Keeper and Reporter take it behind two small interfaces, nil for none; internal/experience is to be wired in internal/server/room.go (Boards fits room.Experience, Registry room.Learner, Keeper.Busy its Busy).

--- a/internal/forward/room.go
+++ b/internal/forward/room.go
@@ -60,14 +60,14 @@
 		Fresh:   x.request.Prompt - x.request.Shared,
 		Tokens:  x.request.Prompt + x.request.Output,
 		Exclude: x.excluded,
-		Program: x.standing(),
+		Program: x.programNow(),
 		Longest: longest,
 		Allows:  x.options.Workers.Opens(x.regions()),
 	}
 }
 
-// standing is where the request's program stands.
-func (x *exchange) standing() standing.Program {
+// programNow is where the request's program stands.
+func (x *exchange) programNow() standing.Program {
 	program := standing.Program{
 		Key:     x.request.Program,
 		Urgency: x.route.Priority,
--- a/internal/room/keeper.go
+++ b/internal/room/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,19 +73,53 @@
 		return Answer{}
 	}
 	now := time.Now()
-	answer, question, answers := k.take(request, members, now)
+	verdicts := k.learn(request.Report, now)
+	answer, question, answers := k.take(request, withoutAvoided(members, verdicts), now)
 	if question != nil {
 		answer = k.hold(ctx, group, question, answers)
 	}
 	if request.Ask != nil {
 		k.options.Count(answer.Outcome, answer.Reason)
 	}
-	if k.options.Experience != nil {
-		answer.Avoid = k.options.Experience.Verdicts(group, now)
-	}
+	answer.Avoid = verdicts
 	return answer
 }
 
+// learn takes in what a node has seen of workers, and returns what all nodes together have.
+func (k *Keeper) learn(report Report, now time.Time) []experience.Verdict {
+	if k.options.Experience == nil {
+		return nil
+	}
+	if len(report.Learnt) > 0 {
+		k.options.Experience.Learn(report.Group, report.From, report.Learnt, now)
+	}
+	return k.options.Experience.Verdicts(report.Group, now)
+}
+
+// withoutAvoided leaves out the workers that are to be avoided, unless nobody else is left.
+func withoutAvoided(members []Member, verdicts []experience.Verdict) []Member {
+	avoided := func(member Member) bool {
+		return slices.ContainsFunc(verdicts, func(said experience.Verdict) bool {
+			return said.Worker == member.Worker && said.Until > 0
+		})
+	}
+	left := slices.DeleteFunc(slices.Clone(members), avoided)
+	if len(left) == 0 {
+		return members
+	}
+	return left
+}
+
+// Busy is the share of a group's places that are taken; 0 if the group is not kept here.
+func (k *Keeper) Busy(group Group) float64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if desk, ok := k.desks[group]; ok {
+		return desk.account.Busy()
+	}
+	return 0
+}
+
 // keeps reports whether this process is the one that is asked, and keeps the group or stands in for
 // another that does not answer the asker.
 func (k *Keeper) keeps(request Request) bool {
@@ -101,9 +136,6 @@
 // take takes in a report, and answers the question that came with it or holds it.
 func (k *Keeper) take(request Request, members []Member, now time.Time) (Answer, *Question, <-chan Answer) {
 	report := request.Report
-	if k.options.Experience != nil && len(report.Learnt) > 0 {
-		k.options.Experience.Learn(report.Group, report.From, report.Learnt, now)
-	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	desk := k.desk(report.Group, now)
--- a/internal/room/world_test.go
+++ b/internal/room/world_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/directory"
+	"github.com/cloverwheel/cloverwheel/internal/experience"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
@@ -28,6 +29,7 @@
 	workers []string
 	nodes   []*worldNode
 	hop     time.Duration
+	board   seen // what all nodes have seen of workers
 
 	mutex  sync.Mutex
 	silent map[string]bool // processes that answer nobody
@@ -42,6 +44,7 @@
 	keeper   *Keeper
 	reporter *Reporter
 	found    []Found
+	seen     seen
 }
 
 const worldPlaces = 4
@@ -62,9 +65,9 @@
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	for _, node := range w.nodes {
 		slots := &Slots{Owners: node}
-		node.keeper = NewKeeper(KeeperOptions{Process: node.self.Process, Slots: slots, Members: node.members, Count: func(Outcome, Reason) {}, Logger: logger})
+		node.keeper = NewKeeper(KeeperOptions{Process: node.self.Process, Slots: slots, Members: node.members, Experience: &w.board, Count: func(Outcome, Reason) {}, Logger: logger})
 		node.reporter = NewReporter(ReporterOptions{
-			Self: node.self, Zone: "z", Slots: slots, Peers: node, Workers: node, Keeper: node.keeper,
+			Self: node.self, Zone: "z", Slots: slots, Peers: node, Workers: node, Keeper: node.keeper, Learner: &node.seen,
 			Count: func(found Found) { node.found = append(node.found, found) }, Told: func(bool) {}, Logger: logger,
 		})
 		go node.reporter.Run(t.Context())
@@ -244,7 +247,7 @@
 			place.End()
 		}
 		time.Sleep(grantLasts + 100*time.Millisecond)
-		require.Zero(t, w.nodes[w.first()].keeper.desks[worldGroup].account.Busy())
+		require.Zero(t, w.nodes[w.first()].keeper.Busy(worldGroup))
 	})
 }
 
@@ -386,3 +389,67 @@
 		place.End()
 	})
 }
+
+// seen is an Experience and a Learner: one worker is spoken against once it was told of.
+type seen struct {
+	mutex   sync.Mutex
+	untold  []experience.Sample
+	learnt  []experience.Sample
+	noted   []experience.Verdict
+	against []experience.Verdict
+}
+
+func (s *seen) do(what func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	what()
+}
+
+func (s *seen) Learn(_ Group, _ string, samples []experience.Sample, _ time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.learnt = append(s.learnt, samples...)
+}
+
+func (s *seen) Verdicts(Group, time.Time) []experience.Verdict {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.learnt) == 0 {
+		return nil
+	}
+	return s.against
+}
+
+func (s *seen) TakeSamples(string) []experience.Sample {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	taken := s.untold
+	s.untold = nil
+	return taken
+}
+
+func (s *seen) NoteVerdicts(verdicts []experience.Verdict) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.noted = verdicts
+}
+
+// TestExperienceRidesOnReports: samples go to the keeper, verdicts come back, and a worker that is to be
+// avoided is offered to nobody.
+func TestExperienceRidesOnReports(t *testing.T) {
+	inWorld(t, 4, 4, func(t *testing.T, w *world) {
+		w.board.do(func() { w.board.against = []experience.Verdict{{Worker: "w3", Until: time.Minute}} })
+		node := &w.nodes[2].seen
+		node.do(func() { node.untold = []experience.Sample{{Worker: "w3", Requests: 9, Failures: 9}} })
+		w.nodes[2].fill(14) // w2 and w3 have room
+		w.nodes[3].fill(1)
+		settle()
+		settle()
+		w.board.do(func() { require.Len(t, w.board.learnt, 1) })
+		node.do(func() { require.Equal(t, w.board.against, node.noted) })
+		for range 4 {
+			found, _ := w.nodes[3].find(Wanted{Exclude: []string{"w0"}})
+			require.NotEqual(t, "w3", found.Place.Worker())
+		}
+	})
+}
