--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -10,6 +10,7 @@
 	"encoding/gob"
 	"errors"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -63,6 +64,15 @@
 	CacheBytes int
 	// Region is where this node stands: it remembers nothing that is bound to others.
 	Region string
+	// Together writes turns together with those of other nodes; nil: nobody does.
+	Together Together
+}
+
+// Together writes rows of one of the parts that hold turns, by their numbers, together with
+// those of other nodes.
+type Together interface {
+	// Put reports whether the rows are in the table for certain. If not, they may be.
+	Put(ctx context.Context, part int, rows []store.Row) (kept bool)
 }
 
 // Keeper reads and writes turns.
@@ -143,22 +153,27 @@
 	return turn, nil
 }
 
+// placed is what a place holds of a turn; nil: nothing.
+type placed struct {
+	place int
+	turn  *Turn
+}
+
 // read asks the places of a turn, the next one when the one before has no
 // answer or no turn. Only if all of them have no turn there is none.
 func (k *Keeper) read(ctx context.Context, id string) (*Turn, error) {
-	missing := 0
-	turn, err := firstPlace(ctx, store.PatienceWith(k.options.Store, readWait), func(ctx context.Context, place int) (*Turn, error) {
-		return k.readPlace(ctx, id, place)
-	}, func(turn *Turn) bool {
-		if turn == nil {
-			missing++
-		}
-		return turn != nil
+	var missing [places]bool
+	found, err := firstPlace(ctx, store.PatienceWith(k.options.Store, readWait), func(ctx context.Context, place int) (placed, error) {
+		turn, err := k.readPlace(ctx, id, place)
+		return placed{place: place, turn: turn}, err
+	}, func(found placed) bool {
+		missing[found.place] = missing[found.place] || found.turn == nil
+		return found.turn != nil
 	})
-	if turn == nil && missing == places {
+	if found.turn == nil && !slices.Contains(missing[:], false) {
 		return nil, ErrNoTurn
 	}
-	return turn, err
+	return found.turn, err
 }
 
 func (k *Keeper) readPlace(ctx context.Context, id string, place int) (*Turn, error) {
@@ -192,10 +207,12 @@
 func partName(part uint64) string { return "t" + strconv.FormatUint(part, 10) }
 
 // partOf is the part of a turn's place. A turn's places lie in different parts.
-func partOf(id string, place int) string {
+func partOf(id string, place int) string { return partName(partNumber(id, place)) }
+
+func partNumber(id string, place int) uint64 {
 	hash := xxhash.Sum64String(id)
 	step := 1 + (hash>>32)%(parts-1)
-	return partName((hash + uint64(place)*step) % parts)
+	return (hash + uint64(place)*step) % parts
 }
 
 // A turn's rows are named by its escaped name, in which no slash is left; all
@@ -249,8 +266,11 @@
 	if err := gob.NewEncoder(&encoded).Encode(turn); err != nil {
 		return err
 	}
-	_, err := firstPlace(ctx, store.PatienceWith(k.options.Store, placeWait), func(ctx context.Context, place int) (store.Version, error) {
-		return store.CommitHedged(ctx, k.options.Store, turn.transaction(encoded.Bytes(), place))
+	together := func() bool {
+		return k.options.Together != nil && k.options.Together.Put(ctx, int(partNumber(turn.ID, 0)), turn.transaction(encoded.Bytes(), 0).Put)
+	}
+	_, err := firstPlaceUnless(ctx, store.PatienceWith(k.options.Store, placeWait), together, func(ctx context.Context, place int) (store.Version, error) {
+		return store.CommitUnlessThrottled(ctx, k.options.Store, turn.transaction(encoded.Bytes(), place))
 	}, func(store.Version) bool { return true })
 	return err
 }
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -97,9 +97,6 @@
 	Avoid []experience.Verdict
 }
 
-// Waited is for how long the answer was held back: that does not tell how long the way takes.
-func (a Answer) Waited() time.Duration { return a.HeldFor }
-
 // Reason is why a keeper decided so.
 type Reason string
 
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -13,6 +13,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/directory"
 	"github.com/cloverwheel/cloverwheel/internal/evacuation"
 	"github.com/cloverwheel/cloverwheel/internal/freshness"
+	"github.com/cloverwheel/cloverwheel/internal/gather"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
 	"github.com/cloverwheel/cloverwheel/internal/room"
 	"github.com/cloverwheel/cloverwheel/internal/standing"
@@ -36,7 +37,9 @@
 			From: "p1", Sequence: 9, Group: room.Group{Service: "s", Zone: "a", Number: 1}, Running: []room.Running{{Worker: "w@1", Requests: 2, Tokens: 300}},
 			Lasts: time.Second, Pending: []uint64{8}, Ended: 3, Held: time.Second, Declined: []string{"x@1"},
 		}, Ask: &room.Ask{Home: "w@1", Fresh: 100, Tokens: 200, Exclude: []string{"y@1"}, Patience: time.Millisecond, Program: standing.Program{Key: "k", Timed: true, Finish: time.Second}}},
-		methodRoom + "-answer-1": room.Answer{Keeper: true, Outcome: room.Go, Worker: "w@1", After: time.Second, Reason: room.ReasonHome, Busy: 0.5, Settled: true, Waiting: 2, HeldFor: time.Millisecond},
+		methodRoom + "-answer-1":    room.Answer{Keeper: true, Outcome: room.Go, Worker: "w@1", After: time.Second, Reason: room.ReasonHome, Busy: 0.5, Settled: true, Waiting: 2, HeldFor: time.Millisecond},
+		methodGather + "-request-1": gather.Request{Process: "p2", Group: 3, Rows: []store.Row{row}, Within: time.Second},
+		methodGather + "-answer-1":  gather.Answer{Owner: true, Outcome: gather.OutcomeKept, Short: true, Throttled: true, Expect: time.Second, Took: time.Millisecond},
 	}
 }
 
--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -19,13 +19,14 @@
 
 // The faults of a call.
 const (
-	None    Fault = iota
-	Refused       // nothing is done, and the table says so
-	Silent        // nothing is done and nothing is said
-	Lost          // it is done and nothing is said
-	Late          // nothing is said; Release does it, if its conditions hold then
-	Broken        // nothing is done and the connection breaks
-	Applied       // it is done and the connection breaks
+	None      Fault = iota
+	Refused         // nothing is done, and the table says so
+	Silent          // nothing is done and nothing is said
+	Lost            // it is done and nothing is said
+	Late            // nothing is said; Release does it, if its conditions hold then
+	Broken          // nothing is done and the connection breaks
+	Applied         // it is done and the connection breaks
+	Throttled       // nothing is done: all nodes together call too often
 )
 
 // ErrBroken is a connection that broke before the answer.
@@ -79,9 +80,11 @@
 
 // Commit implements store.Store.
 func (t *Table) Commit(ctx context.Context, transaction store.Transaction) (store.Version, error) {
-	switch t.fault(transaction.First().Part, true) {
+	switch t.faultOf(transaction) {
 	case Refused:
 		return 0, store.ErrNotDone
+	case Throttled:
+		return 0, store.ErrThrottled
 	case Broken:
 		return 0, ErrBroken
 	case Silent:
@@ -104,6 +107,20 @@
 	return t.apply(transaction)
 }
 
+// faultOf is the fault of the first part of a transaction that has one.
+func (t *Table) faultOf(transaction store.Transaction) Fault {
+	fault := t.fault(transaction.First().Part, true)
+	if !transaction.Across() {
+		return fault
+	}
+	for _, part := range slices.Sorted(maps.Keys(partsOf(transaction))) {
+		if fault == None {
+			fault = t.fault(part, true)
+		}
+	}
+	return fault
+}
+
 // Operate applies a transaction of somebody else, whom no fault strikes.
 func (t *Table) Operate(transaction store.Transaction) error {
 	_, err := t.apply(transaction)
@@ -156,6 +173,8 @@
 	switch t.fault(part, false) {
 	case Refused:
 		return store.ErrNotDone
+	case Throttled:
+		return store.ErrThrottled
 	case Broken, Applied:
 		return ErrBroken
 	case Silent, Lost, Late:
