--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -117,6 +117,7 @@
 	if x.told {
 		fields["told"] = true
 	}
+	x.noteRoom(fields)
 	if kind == string(route.Streaming) {
 		x.clock.addTo(fields)
 		x.options.Metrics.steps.observe(&x.clock)
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -15,6 +15,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
+	"github.com/cloverwheel/cloverwheel/internal/room"
 	"github.com/cloverwheel/cloverwheel/internal/silence"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 	"github.com/cloverwheel/cloverwheel/internal/warmup"
@@ -37,6 +38,8 @@
 	methodLend = "quota.lend"
 	// methodLendCold asks the owner of a cold worker's slot for one request to that worker.
 	methodLendCold = "warmup.lend"
+	// methodRoom tells the keeper of a group of workers what runs there, and asks it for a place.
+	methodRoom = "room.report"
 	// methodGather asks the owner of a slot to write rows of turns together with those of others.
 	methodGather = "history.gather"
 	// methodProof asks a node since when its configuration is known to be the newest.
@@ -268,6 +271,12 @@
 	return askPeer[warmup.Answer](ctx, a, owner, methodLendCold, request)
 }
 
+// Room implements room.Peers.
+func (a *asker) Room(ctx context.Context, keeper budget.Holder, request room.Request) (room.Answer, error) {
+	onWay := func(answer room.Answer, took time.Duration) time.Duration { return took - answer.HeldFor }
+	return askPeerFor(ctx, a, keeper, methodRoom, request, onWay)
+}
+
 // Chain implements forward.Neighbours.
 func (a *asker) Chain(ctx context.Context, holder budget.Holder, turn string) ([]*history.Turn, error) {
 	if !mayCarry(ctx, a.transport.vantage.Places, holder) {
