--- a/internal/gather/gatherer.go
+++ b/internal/gather/gatherer.go
@@ -28,10 +28,12 @@
 	// Process is this one, and Owns tells whether it owns the slot of a group.
 	Process string
 	Owns    func(group int) bool
-	// Store is this node's own way to the table, and Suspect tells that it has just failed.
-	Store   store.Store
-	Suspect func() bool
-	Pace    Pace
+	// Store is the table, by whatever way, and Lost tells that it has just failed by all of them.
+	Store store.Store
+	Lost  func() bool
+	// Region is where this node stands: rows that it was sent may pass through nodes there.
+	Region string
+	Pace   Pace
 	// Bytes bounds what waits in all groups together.
 	Bytes  int
 	Meter  Meter
@@ -85,7 +87,7 @@
 	if len(request.Rows) == 0 || len(request.Rows) > callRows {
 		return g.answer(request.Group, nil, OutcomeFailed)
 	}
-	if g.options.Suspect() {
+	if g.options.Lost() {
 		return g.answer(request.Group, nil, OutcomeFailed)
 	}
 	queue, waiting := g.enter(request)
--- a/internal/gather/queue.go
+++ b/internal/gather/queue.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 )
 
@@ -124,7 +125,7 @@
 	divided := byPart(items)
 	if !apart || len(divided) == 1 {
 		err := g.commit(items)
-		if err == nil || errors.Is(err, store.ErrThrottled) || len(divided) == 1 || g.options.Suspect() {
+		if err == nil || errors.Is(err, store.ErrThrottled) || len(divided) == 1 || g.options.Lost() {
 			g.note(queue, items, err)
 			return
 		}
@@ -141,7 +142,8 @@
 func (g *Gatherer) commit(items []*item) error {
 	transaction := transactionOf(items)
 	limit := min(max(callPatiences*store.PatienceWith(g.options.Store, 0), shortestCall), longestCall)
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	bound := locality.WithContent(context.Background(), locality.Regions{g.options.Region})
+	ctx, cancel := context.WithTimeout(bound, limit)
 	defer cancel()
 	begun := time.Now()
 	_, err := store.CommitUnlessThrottled(ctx, g.options.Store, transaction)
--- a/internal/gather/world_test.go
+++ b/internal/gather/world_test.go
@@ -159,7 +159,7 @@
 			defer w.mutex.Unlock()
 			return slices.Contains(w.claims[group], index)
 		},
-		Store: node.gate, Suspect: node.gate.Suspect, Pace: Pace{Writes: 1500, Groups: slots.Groups(), Across: w.across},
+		Store: node.gate, Lost: node.gate.Suspect, Pace: Pace{Writes: 1500, Groups: slots.Groups(), Across: w.across},
 		Bytes: 8 << 20, Meter: w, Logger: logger,
 	})
 	writer := NewWriter(WriterOptions{
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -44,7 +44,7 @@
 	})
 	relays.known = func() []budget.Holder { return withFarOwners(vantage, budgets.Met(), programs.Owners()) }
 	kept := options.history(table)
-	kept.Together = newWriter(options, gate, peers, programs)
+	kept.Together = newWriter(options, table, peers, programs)
 	keeper := history.New(kept)
 	peers.handle(options.Process, budgets, keeper, programs)
 	handleRelayed(peers.mux, options.Process, gate)
--- a/internal/server/together.go
+++ b/internal/server/together.go
@@ -10,15 +10,16 @@
 )
 
 // newWriter gathers rows of turns, and sends this node's to those who gather.
-func newWriter(options Options, gate *store.Gate, peers *peers, programs *directory.Directory) *gather.Writer {
+func newWriter(options Options, table *store.Relayed, peers *peers, programs *directory.Directory) *gather.Writer {
 	vantage := options.Settings.vantage()
 	slots := gather.Slots{Layout: directory.NewLayout(vantage.Places), Region: vantage.Region()}
 	pace := gather.Pace{Writes: options.Settings.TableWrites, Groups: slots.Groups(), Across: options.Settings.TableAcross}
 	gatherer := gather.NewGatherer(gather.GathererOptions{
 		Process: options.Process,
 		Owns:    slots.Owned(programs.Owns),
-		Store:   gate,
-		Suspect: gate.Suspect,
+		Store:   table,
+		Lost:    table.Lost,
+		Region:  vantage.Region(),
 		Pace:    pace,
 		Bytes:   int(options.Settings.MemoryBytes / memoryForGathering),
 		Meter:   options.Metrics,
@@ -28,7 +29,7 @@
 	return gather.NewWriter(gather.WriterOptions{
 		Process: options.Process, Slots: slots, Owners: programs,
 		Peers: peers.asker, Patience: peers.asker.patience, Gatherer: gatherer,
-		ThrottledSince: gate.ThrottledSince, Pace: pace, Nodes: func() int { return 1 + len(programs.Owners()) },
+		ThrottledSince: table.ThrottledSince, Pace: pace, Nodes: func() int { return 1 + len(programs.Owners()) },
 		Meter: options.Metrics, Logger: options.Logger,
 	})
 }
