Gatherers' share of calls follows what the table takes: it falls at refusals, and grows again

Cause: gathered rows have 0.7 of the table's writing calls, others the rest.

Change: allowance: a refusal leaves 0.85 of it (0.5 at least), it grows by 0.4 a second.

--- a/internal/gather/decide_test.go
+++ b/internal/gather/decide_test.go
@@ -22,15 +22,15 @@
 			rows := rapid.Float64Range(0, 10_000).Draw(t, "rate")
 			queues := float64(pace.queues())
 			each := queues / max(rows, 0.001) // seconds between two rows of a queue
-			calls := queues / (each + pace.Gathering(rows).Seconds())
-			if pace.Gathering(rows) < longestGathering {
+			calls := queues / (each + pace.Gathering(rows, 1).Seconds())
+			if pace.Gathering(rows, 1) < longestGathering {
 				total += calls
 			}
 		}
 		require.LessOrEqual(t, total, turnsShare*pace.Writes*1.001)
-		require.Zero(t, pace.Gathering(pace.calls()))
+		require.Zero(t, pace.Gathering(pace.calls(), 1))
 	})
-	require.Zero(t, Pace{Groups: Groups}.Gathering(1e6), "nothing is said of the table")
+	require.Zero(t, Pace{Groups: Groups}.Gathering(1e6, 1), "nothing is said of the table")
 	require.False(t, Pace{Groups: Groups}.Short(1e6, true))
 }
 
--- a/internal/gather/gatherer.go
+++ b/internal/gather/gatherer.go
@@ -66,6 +66,7 @@
 	short     bool
 	apart     time.Time // until when parts are written apart
 	throttled time.Time // when a call was last refused for the number of calls
+	allowance allowance
 	queues    map[string]*queue
 }
 
@@ -180,5 +181,11 @@
 		call = max(call, min(now.Sub(queue.begun), longestCall))
 	}
 	calls := time.Duration(2 + queue.rows/callRows)
-	return calls*call + max(g.options.Pace.Gathering(rate), queue.pause)
+	return calls*call + max(g.gathering(queue.group, now), queue.pause)
+}
+
+// gathering is how long the first row of a call of a group waits for others now. The caller holds
+// the mutex.
+func (g *Gatherer) gathering(group *group, now time.Time) time.Duration {
+	return g.options.Pace.Gathering(group.rate.at(now), group.allowance.at(now))
 }
--- a/internal/gather/pace.go
+++ b/internal/gather/pace.go
@@ -40,10 +40,11 @@
 func (p Pace) calls() float64 { return turnsShare * p.Writes / float64(max(1, p.Groups)) }
 
 // Gathering is how long the first row of a call waits for others, by the rate of the group's
-// rows, per second: so long that the group's calls stay within its part of the share. While
-// there are no more rows than calls it does not wait.
-func (p Pace) Gathering(rate float64) time.Duration {
-	calls := p.calls()
+// rows, per second: so long that the group's calls stay within its part of the share, of which
+// the table has lately taken the part given. While there are no more rows than calls it does not
+// wait.
+func (p Pace) Gathering(rate, taken float64) time.Duration {
+	calls := taken * p.calls()
 	if calls <= 0 || rate <= calls {
 		return 0
 	}
--- a/internal/gather/queue.go
+++ b/internal/gather/queue.go
@@ -101,7 +101,7 @@
 		queue.running = false
 		return time.Time{}, false
 	}
-	gathering := g.options.Pace.Gathering(queue.group.rate.at(time.Now()))
+	gathering := g.gathering(queue.group, time.Now())
 	return queue.due(gathering, g.way.Longest(firstExpect, longestCall)), true
 }
 
@@ -193,6 +193,7 @@
 	defer g.mutex.Unlock()
 	now := time.Now()
 	queue.group.throttled, queue.pause = now, queue.backoff.Next()
+	queue.group.allowance.refused(now)
 	for _, refused := range items {
 		if now.Before(refused.deadline) {
 			g.add(queue, refused)
