--- a/internal/forward/room.go
+++ b/internal/forward/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -30,7 +31,7 @@
 // findRoom asks where there is room for the request; nil: this node is to choose by itself. A
 // request that may only go to workers that may have run it goes there whatever room they have.
 func (x *exchange) findRoom(ctx context.Context, only []string) *backend.Worker {
-	if x.options.Room == nil || len(only) > 0 {
+	if x.options.Room == nil || len(only) > 0 || x.homeTakesIt() {
 		return nil
 	}
 	longest := shareOfLeft(ctx, roomWaitShare, longestRoomWait) - x.roomWait
@@ -51,6 +52,17 @@
 	return worker
 }
 
+// homeTakesIt reports whether the request goes to the worker that knows its context, whatever room
+// that has. Read again elsewhere, its context takes memory from what others have there, who read more
+// themselves then: lines that leave crowded workers fill all of them.
+func (x *exchange) homeTakesIt() bool {
+	if x.home == "" || slices.Contains(x.excluded, x.home) {
+		return false
+	}
+	worker, ok := x.options.Workers.WorkerOf(x.home)
+	return ok && !x.options.Workers.Check(worker, x.regions()).Refused()
+}
+
 // wanted describes the request to those who know of room.
 func (x *exchange) wanted(longest time.Duration) room.Wanted {
 	return room.Wanted{
