A worker's silence counts from when its client has taken what came

Cause: the watchdog's timer and the end of a client's pause may fall on the same moment; the worker was looked at then though nothing had been read from it meanwhile. Change: the time at which the client took an event counts as heard, and a look that comes before the worker's patience is over waits for the rest.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -160,11 +160,11 @@
 		x.clock.enter(stepStream, came)
 		dog.passing.Store(true)
 		err = x.passEvent(answer, event)
-		dog.passing.Store(false)
+		now := time.Now()
+		dog.taken(now)
 		if err != nil {
 			return err
 		}
-		now := time.Now()
 		took = now.Sub(came)
 		if !before.IsZero() && perEvent > 0 {
 			worker.Paced(now.Sub(before) / time.Duration(perEvent))
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -104,6 +104,21 @@
 	w.worker.Serves(w.sent, w.priority)
 }
 
+// taken notes that the client has taken what the worker sent: its silence counts from now.
+func (w *watchdog) taken(now time.Time) {
+	w.mutex.Lock()
+	w.last = now
+	w.mutex.Unlock()
+	w.passing.Store(false)
+}
+
+// patienceLeft is how much longer the worker may be silent at a moment.
+func (w *watchdog) patienceLeft(now time.Time) time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.patience() - now.Sub(w.last)
+}
+
 // usual is how long a worker is usually silent where the answer stands.
 func (w *watchdog) usual() *wait.Estimate {
 	if w.begun.Load() {
@@ -142,6 +157,10 @@
 		return
 	}
 	begun := time.Now()
+	if left := w.patienceLeft(begun); left > 0 {
+		w.timer.Reset(left)
+		return
+	}
 	limited, cancel := context.WithTimeout(ctx, checkTimeout)
 	err := w.worker.Pool().Reach(limited)
 	cancel()
