--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -22,6 +22,10 @@
 	Finish time.Duration
 	// Needs is what it is expected to take still where nothing makes it wait; 0: not known.
 	Needs time.Duration
+	// Turns is how many turns it is expected to take still, this one included; 0: not known.
+	Turns int
+	// Waited is for how long it has got no further, as far as is known.
+	Waited time.Duration
 }
 
 // Slack is how long the program can still wait and be in time. Below zero it will be late, whatever
@@ -32,3 +36,9 @@
 	}
 	return p.Finish - p.Needs, true
 }
+
+// Lost reports whether the program will be late, whatever is done.
+func (p Program) Lost() bool {
+	slack, known := p.Slack()
+	return known && slack < 0
+}
