Order: a turn's priority at its worker is made of urgency and its program's standing

Workers were told the route's priority and whether the turn is a first one. Of a program whose caller says by when it must be over, they are now told its class within the range of its urgency, which ends where that of the next less urgent route to the same service begins: tight before under way, new ones after these, those whose time is lost last. Requests without a program's time keep today's value. The request's line names class, slack, needs, turns left, priority and the time to the first event.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/standing"
 	"github.com/cloverwheel/cloverwheel/internal/tenant"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
@@ -44,6 +45,8 @@
 	// Isolated reports whether this node reaches neither the table nor nodes elsewhere;
 	// nil: it always does.
 	Isolated func() bool
+	// Standing learns how long programs take; nil: nothing is known of it.
+	Standing *standing.Learner
 	Metrics  *Metrics
 	Logger   log.Interface
 }
@@ -126,6 +129,7 @@
 	answered  bool // the client has its final answer
 	lastEvent string
 	output    []byte
+	standing  program // whose request it is, and how it stands
 }
 
 // Serve answers a request. ctx ends when the client leaves.
@@ -271,6 +275,7 @@
 		Resume:   x.lastEvent,
 		Priority: x.priority(),
 	}
+	x.standing.sent = time.Now()
 	if x.tenant != nil {
 		call.Tenant = x.tenant.Name
 	}
@@ -281,21 +286,6 @@
 	return x.options.Transport.Send(ctx, worker, call)
 }
 
-// Steps of a worker's priority.
-const (
-	lowestPriority  = 9
-	priorityStep    = 2
-	firstTurnBehind = 1 // programs under way come before new ones
-)
-
-func (x *exchange) priority() int {
-	priority := x.route.Priority * priorityStep
-	if x.home == "" {
-		priority += firstTurnBehind
-	}
-	return min(priority, lowestPriority)
-}
-
 func (x *exchange) exclude(worker string) { x.excluded = append(x.excluded, worker) }
 
 // ended tells the final answer when the request's time is over or its client gone.
--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -112,6 +112,7 @@
 	if x.told {
 		fields["told"] = true
 	}
+	x.noteStanding(fields)
 	x.noteAttempts(fields)
 	if len(x.tried) > 0 {
 		fields["tried"] = strings.Join(x.tried, ",")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -183,6 +183,7 @@
 		return nil
 	}
 	x.started = true
+	x.standing.first = time.Since(x.standing.sent)
 	x.options.Metrics.FirstEvent.Observe(time.Since(x.begun).Seconds())
 	if err := x.out.Start(answer.Status, answer.Header, unknownLength); err != nil {
 		return errClient
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -42,6 +42,7 @@
 	x.findWorkers(ctx)
 	x.service = x.serviceOfTurn()
 	perEvent := configuration.Services[x.service].TokensPerEvent
+	end := x.stand(configuration, x.placeOf(len(chain)))
 	refusal = x.admit(ctx)
 	if refusal == nil {
 		refusal = x.stream(ctx, perEvent)
@@ -51,10 +52,11 @@
 		x.granted = reservation.Granted
 		reservation.Settle(x.events*perEvent, x.homeAfter())
 	}
-	if refusal != nil {
-		return refusal
+	if refusal == nil {
+		refusal = x.keep(ctx, chain)
 	}
-	if refusal = x.keep(ctx, chain); refusal != nil {
+	end(refusal != nil)
+	if refusal != nil {
 		return refusal
 	}
 	x.out.End()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -136,6 +136,8 @@
 	routes  int
 	// targeted are the services that routes lead to.
 	targeted []string
+	// priorities are those of the routes that lead to each service, ascending.
+	priorities map[string][]int
 }
 
 // maxFirstDraw bounds where a route's draws begin; far beyond, floating-point
@@ -150,6 +152,8 @@
 		Limits:   limits,
 		hosts:    map[string][]Route{},
 		routes:   len(routes),
+
+		priorities: map[string][]int{},
 	}
 	for _, service := range services {
 		configuration.Services[service.Name] = service
@@ -160,18 +164,39 @@
 		route.drawn = new(atomic.Uint64)
 		route.drawn.Store(rand.Uint64N(maxFirstDraw)) // nodes do not draw in step
 		configuration.hosts[host] = append(configuration.hosts[host], route)
-		configuration.target(route.Targets)
+		configuration.target(route)
 	}
 	return configuration
 }
 
-// target notes the services that a route leads to.
-func (c *Configuration) target(targets []Target) {
-	for _, target := range targets {
-		if target.Weight > 0 && !slices.Contains(c.targeted, target.Service) {
+// target notes the services that a route leads to, and its priority there.
+func (c *Configuration) target(route Route) {
+	for _, target := range route.Targets {
+		if target.Weight <= 0 {
+			continue
+		}
+		if !slices.Contains(c.targeted, target.Service) {
 			c.targeted = append(c.targeted, target.Service)
 		}
+		known := c.priorities[target.Service]
+		if at, found := slices.BinarySearch(known, route.Priority); !found {
+			c.priorities[target.Service] = slices.Insert(known, at, route.Priority)
+		}
+	}
+}
+
+// LessUrgent is the next priority after one that routes to a service have; ok is false if none is
+// less urgent.
+func (c *Configuration) LessUrgent(service string, priority int) (next int, ok bool) {
+	known := c.priorities[service]
+	at, found := slices.BinarySearch(known, priority)
+	if found {
+		at++
+	}
+	if at >= len(known) {
+		return 0, false
 	}
+	return known[at], true
 }
 
 // WithTenants sets who may send requests, before the configuration is in force.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,6 +25,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
 	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/standing"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 	"github.com/cloverwheel/cloverwheel/internal/sweep"
 )
@@ -179,6 +180,7 @@
 			Admit:      func(bytes int64) (func(), bool) { return s.Admit(bytes) },
 			Finder:     finder,
 			Prober:     options.Prober,
+			Standing:   standing.NewLearner(),
 			Metrics:    options.Metrics.Requests,
 			Logger:     options.Logger,
 		}),
--- a/internal/standing/order.go
+++ b/internal/standing/order.go
@@ -24,15 +24,29 @@
 	Late                  // its time is lost
 )
 
+// String implements fmt.Stringer.
+func (c Class) String() string {
+	switch c {
+	case Tight:
+		return "tight"
+	case UnderWay:
+		return "under_way"
+	case New:
+		return "new"
+	default:
+		return "late"
+	}
+}
+
 // Classify tells a program's class.
 func Classify(program Program) Class {
 	slack, known := program.Slack()
 	switch {
-	case known && slack < 0 && program.Waited < longestStill:
+	case program.Lost() && program.Waited < longestStill:
 		return Late
 	case program.Begins && !program.Returns:
 		return New
-	case known && slack >= 0 && float64(slack) < tightShare*float64(program.Needs):
+	case known && !program.Lost() && float64(slack) < tightShare*float64(program.Needs):
 		return Tight
 	default:
 		return UnderWay
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -40,5 +40,5 @@
 // Lost reports whether the program will be late, whatever is done.
 func (p Program) Lost() bool {
 	slack, known := p.Slack()
-	return known && slack < 0
+	return known && (slack < 0 || p.Finish <= 0)
 }
