Admission: programs are let in at their first turn as wholes, or refused at once

All programs began, whatever the load; who was refused was who met a full worker, first turns and turns in the middle alike. A decider (internal/admission) is now asked at a program's first turn, before its tokens are reserved: under way, without a time, or with room, it is in; where the first turns that this node sees wait, one whose time is lost, or whose slack cannot bear the waits that it must expect, is refused at once, with a time to return that is made of the pace of first turns let in and of who was told before, a third of the client's time at most. The node that told it lets it in then. Retry-After elsewhere stays. Turns that wait still count, for under a burst the first events are late by the very wait; loads are kept by urgency, since workers take the more urgent first; first turns are told apart, since they come last.

What is learnt of a route counts turns once they have ended: first turns that were refused made chains look short (2 turns where 4 follow, in the model), and steps of a hundredth in place of a twentieth, for after 6 s of load the idle time of a turn had risen to twice its value.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/cloverwheel/cloverwheel/internal/admission"
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
@@ -47,8 +48,10 @@
 	Isolated func() bool
 	// Standing learns how long programs take; nil: nothing is known of it.
 	Standing *standing.Learner
-	Metrics  *Metrics
-	Logger   log.Interface
+	// Admission decides which programs begin; nil: all do.
+	Admission *admission.Gate
+	Metrics   *Metrics
+	Logger    log.Interface
 }
 
 // Forwarder serves requests by the configuration in force.
@@ -275,7 +278,7 @@
 		Resume:   x.lastEvent,
 		Priority: x.priority(),
 	}
-	x.standing.sent = time.Now()
+	x.noteSent()
 	if x.tenant != nil {
 		call.Tenant = x.tenant.Name
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -169,6 +169,7 @@
 	worker.Declined(time.Now())
 	x.noteTried(worker, "declined")
 	x.declines++
+	x.noteDecline()
 	x.exclude(worker.Key())
 	x.options.Metrics.Declines.Inc()
 	return false
--- a/internal/forward/standing_test.go
+++ b/internal/forward/standing_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverwheel/cloverwheel/internal/admission"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/standing"
 )
@@ -83,3 +85,51 @@
 	require.Equal(t, standing.Band{First: 9, Last: 9}, band(configuration, "s", 12))
 	require.Equal(t, standing.Band{First: 0, Last: 9}, band(configuration, "unknown", 0))
 }
+
+// overloaded lets the gate see first turns that waited for long.
+func overloaded(gate *admission.Gate, urgency int) {
+	idle := admission.Idle{First: 10 * time.Millisecond, Whole: 100 * time.Millisecond}
+	program := standing.Program{Begins: true, Urgency: urgency}
+	for range 10 {
+		gate.First(gate.Sent("s", program, idle, time.Now().Add(-5*time.Second)), time.Now())
+	}
+}
+
+func TestUnderOverloadAProgramIsRefusedBeforeAnythingIsDoneForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		turn := turnRoute(retained)
+		f := newFixture(t, turn)
+		f.before(turn)
+		f.forwarder.options.Admission = admission.NewGate(nil)
+		f.worker("w", streams(2, 0))
+		begin := func(r *Request) {
+			r.Program, r.Line, r.Timed, r.Finish, r.Budget, r.Output = "p", "main", true, time.Second, 1000, 100
+		}
+		commits, reads := f.table.Calls()
+		overloaded(f.forwarder.options.Admission, 0)
+		got := f.serve(t.Context(), begin)
+		require.Equal(t, fault.Overloaded, got.refusal.Code)
+		require.Equal(t, fault.RanNo, got.refusal.Ran)
+		require.Positive(t, got.refusal.RetryAfter)
+		require.LessOrEqual(t, got.refusal.RetryAfter, time.Second, "a third of what its client waits")
+		require.Zero(t, got.took, "at once")
+		require.Empty(t, f.sent())
+		commitsAfter, readsAfter := f.table.Calls()
+		require.Equal(t, [2]int{commits, reads}, [2]int{commitsAfter, readsAfter}, "and at nobody's cost")
+	})
+}
+
+func TestWhatIsUnderWayIsServedUnderOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		turn := turnRoute(retained)
+		f := newFixture(t, turn)
+		f.before(turn)
+		f.forwarder.options.Admission = admission.NewGate(nil)
+		timed := func(id, from string) func(*Request) {
+			return func(r *Request) { r.ID, r.Continue, r.Timed, r.Finish = id, from, true, 0 }
+		}
+		serveTurn(t, f, timed("t1", ""))
+		overloaded(f.forwarder.options.Admission, 0)
+		serveTurn(t, f, timed("t2", "t1"))
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -76,6 +76,7 @@
 	defer worker.Begin()()
 	limited, dog := x.watch(ctx, worker, streamStall, false)
 	defer dog.stop()
+	defer x.noteNoFirst()
 	answer, err := x.send(limited, worker)
 	if err != nil {
 		return x.failed(ctx, limited, worker, err)
@@ -183,7 +184,7 @@
 		return nil
 	}
 	x.started = true
-	x.standing.first = time.Since(x.standing.sent)
+	x.noteFirst()
 	x.options.Metrics.FirstEvent.Observe(time.Since(x.begun).Seconds())
 	if err := x.out.Start(answer.Status, answer.Header, unknownLength); err != nil {
 		return errClient
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -28,6 +28,23 @@
 
 // turn serves a request that is answered by a stream of events.
 func (x *exchange) turn(ctx context.Context, configuration *route.Configuration) *fault.Error {
+	refusal := x.runTurn(ctx, configuration)
+	x.leave(configuration, refusal != nil)
+	if refusal != nil {
+		return refusal
+	}
+	x.out.End()
+	return nil
+}
+
+// runTurn passes a turn's answer on, up to its end, and keeps it.
+func (x *exchange) runTurn(ctx context.Context, configuration *route.Configuration) *fault.Error {
+	if x.beginsKept() {
+		x.service = x.serviceOfTurn()
+		if refusal := x.enter(ctx, configuration, 1); refusal != nil {
+			return refusal
+		}
+	}
 	reservation, chain, refusal := x.prepare(ctx)
 	if refusal != nil {
 		return refusal
@@ -40,10 +57,16 @@
 		x.home = reservation.Home
 	}
 	x.findWorkers(ctx)
-	x.service = x.serviceOfTurn()
+	if x.service == "" || x.home != "" {
+		x.service = x.serviceOfTurn()
+	}
 	perEvent := configuration.Services[x.service].TokensPerEvent
-	end := x.stand(configuration, x.placeOf(len(chain)))
-	refusal = x.admit(ctx)
+	if !x.standing.known {
+		refusal = x.enter(ctx, configuration, x.placeOf(len(chain)))
+	}
+	if refusal == nil {
+		refusal = x.admit(ctx)
+	}
 	if refusal == nil {
 		refusal = x.stream(ctx, perEvent)
 	}
@@ -52,17 +75,16 @@
 		x.granted = reservation.Granted
 		reservation.Settle(x.events*perEvent, x.homeAfter())
 	}
-	if refusal == nil {
-		refusal = x.keep(ctx, chain)
-	}
-	end(refusal != nil)
 	if refusal != nil {
 		return refusal
 	}
-	x.out.End()
-	return nil
+	return x.keep(ctx, chain)
 }
 
+// beginsKept reports whether the turn is known to go on from nothing before anything is read or
+// reserved for it: a refusal costs nobody a call then.
+func (x *exchange) beginsKept() bool { return x.route.Retain && x.request.Continue == "" }
+
 // homeAfter is where the program's context lies after the turn.
 func (x *exchange) homeAfter() string {
 	if x.events == 0 {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cloverwheel/cloverwheel/internal/admission"
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/directory"
@@ -181,6 +182,7 @@
 			Finder:     finder,
 			Prober:     options.Prober,
 			Standing:   standing.NewLearner(),
+			Admission:  admission.NewGate(nil),
 			Metrics:    options.Metrics.Requests,
 			Logger:     options.Logger,
 		}),
--- a/internal/standing/learner.go
+++ b/internal/standing/learner.go
@@ -41,6 +41,7 @@
 type programState struct {
 	line    uint64        // in which it began
 	place   int           // of the turn of that line which came last
+	counted int           // the last turn of that line that has ended
 	given   time.Duration // at its first turn
 	waited  time.Duration // in turns, beyond what these take where nothing makes them wait
 	running int           // turns under way
@@ -78,7 +79,7 @@
 		return program
 	}
 	if state == nil {
-		state = l.begins(turn, expected)
+		state = l.begins(turn)
 	}
 	program.Begins = turn.Begins && state.place <= 1
 	state.comes(turn, expected, now)
@@ -124,14 +125,10 @@
 }
 
 // begins remembers a program from its first turn on.
-func (l *Learner) begins(turn Turn, expected *expectation) *programState {
+func (l *Learner) begins(turn Turn) *programState {
 	state := l.programs.put(xxhash.Sum64String(turn.Program))
 	state.line = xxhash.Sum64String(turn.Line)
 	state.given = turn.Finish
-	if turn.Timed {
-		expected.given.observe(turn.Finish, usualShare)
-		expected.leastGiven.observe(turn.Finish, leastGivenShare)
-	}
 	return state
 }
 
@@ -166,9 +163,7 @@
 	if !s.ended.IsZero() && s.running == 0 {
 		expected.pause.observe(now.Sub(s.ended), usualShare)
 	}
-	s.place++
-	s.place = max(s.place, turn.Place)
-	expected.reach(s.place)
+	s.place = max(s.place+1, turn.Place)
 }
 
 // ends takes in how a turn of the program went.
@@ -182,9 +177,27 @@
 		return
 	}
 	s.ended = now
-	if ours && expected.turn.known() {
+	if !ours {
+		return
+	}
+	if expected.turn.known() {
 		s.waited += max(0, took.Whole-expected.turn.value)
 	}
+	s.learn(turn, expected)
+}
+
+// learn takes in that a turn of the line has ended in which the program began. What is refused or
+// fails is not counted: it says nothing of how many turns programs have.
+func (s *programState) learn(turn Turn, expected *expectation) {
+	if s.counted >= s.place {
+		return
+	}
+	s.counted = s.place
+	expected.reach(s.place)
+	if turn.Timed && s.place == 1 {
+		expected.given.observe(turn.Finish, usualShare)
+		expected.leastGiven.observe(turn.Finish, leastGivenShare)
+	}
 }
 
 // still is for how long the program has got no further.
--- a/internal/standing/quantile.go
+++ b/internal/standing/quantile.go
@@ -3,7 +3,7 @@
 import "time"
 
 // quantileStep is by which share of itself an estimate moves with each observation.
-const quantileStep = 0.05
+const quantileStep = 0.01
 
 // quantile follows a quantile of durations in constant memory, by stochastic approximation. Its
 // zero value knows nothing.
