Order: a program under way whose time is lost comes before new ones

Late ones were last of their urgency. What a late answer is worth is not known to us, and what is under way is to be refused last. Now: tight, under way, late, new; within new ones those that can still be in time first.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -77,7 +77,7 @@
 func (g *Gate) Sent(service string, program standing.Program, idle Idle, now time.Time) *Sending {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	behind := standing.Classify(program) >= standing.New
+	behind := standing.Classify(program) == standing.New
 	sending := &Sending{window: g.window(queue{service, program.Urgency}), sent: now, idle: idle, behind: behind}
 	sending.window.pending[sending] = struct{}{}
 	return sending
