--- a/internal/standing/learner.go
+++ b/internal/standing/learner.go
@@ -16,7 +16,7 @@
 // Turn is a turn as it begins.
 type Turn struct {
 	Route   string
-	Program string // alike on all nodes; empty: it belongs to none
+	Program string // alike on all nodes
 	Tenant  string
 	Urgency int
 	Line    string // of turns within the program; empty: not said
@@ -74,7 +74,7 @@
 	}
 	expected := l.expectation(turn.Route)
 	state := l.programs.of(xxhash.Sum64String(turn.Program))
-	if turn.Program == "" || state == nil && !turn.Begins {
+	if state == nil && !turn.Begins {
 		program.Needs, program.Turns = expected.unknownProgram(turn)
 		return program
 	}
@@ -137,10 +137,6 @@
 	if needs, turns, known := e.needs(turn.Place); known {
 		return needs + e.byGuess(turn), turns
 	}
-	if turn.Begins {
-		needs = e.whole(turn.Finish)
-		return needs, e.turnsIn(needs)
-	}
 	return e.turn.value, min(1, e.turn.seen)
 }
 
