Admission: turns that waited in vain count; nobody is let in whose client leaves before the turn could end

The promised ones came with 60 to 400 ms of their client's time left, where first turns waited for a second: callers leave at about twice the time that they gave their program. The others were let in by means of waits from which a turn was dropped the moment it ended without a first event, which is when it had waited the longest.

Now such a turn counts with what it waited, and a first turn whose client waits for less than first turns wait, and a turn takes, is refused at once (leaves), also one that was told to come. In the model callers leave at twice their time, too.

TestGateRemembersWhomItTold: its client had 2 s left where first turns wait for 2 s and a turn takes 0.16 s, which is refused now by the rule above; it has 3 s.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -25,6 +25,7 @@
 	Room     Reason = "room"      // nothing known here says that all workers have queues
 	Promised Reason = "promised"  // it was told to come back now
 	InTime   Reason = "in_time"   // it can bear the waits of the present load
+	Leaves   Reason = "leaves"    // its client leaves before its first turn could end
 	TooLate  Reason = "too_late"  // it cannot be in time whatever is done
 	Crowded  Reason = "crowded"   // at the present load it would not be in time
 )
@@ -81,6 +82,8 @@
 		return Verdict{In: true, Reason: Untimed}
 	case !load.Crowded():
 		return Verdict{In: true, Reason: Room}
+	case ask.Left < load.Behind.mean()+load.Idle:
+		return Verdict{Reason: Leaves, After: ask.latest()}
 	case program.Returns:
 		return Verdict{In: true, Reason: Promised}
 	case program.Lost():
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -125,7 +125,7 @@
 	require.False(t, early.In, "it was told to come later")
 	now = now.Add(told.After + early.After)
 	seeGate(gate, 2*time.Second, now)
-	then, _, _ := gate.Decide("s", newProgram("p"), 2*time.Second, now)
+	then, _, _ := gate.Decide("s", newProgram("p"), 3*time.Second, now)
 	require.Equal(t, Promised, then.Reason)
 	other, _, _ := gate.Decide("s", newProgram("q"), 3*time.Second, now)
 	require.False(t, other.In)
@@ -143,12 +143,32 @@
 	_, _, load = gate.Decide("s", newProgram("p"), 3*time.Second, now.Add(500*time.Millisecond))
 	require.True(t, load.Crowded())
 	for _, sending := range sendings {
-		gate.Ended(sending)
+		gate.Ended(sending, now.Add(50*time.Millisecond))
 	}
 	_, _, load = gate.Decide("s", newProgram("p"), 3*time.Second, now.Add(500*time.Millisecond))
 	require.Zero(t, load.Behind.Events)
 }
 
+func TestATurnThatWaitedInVainStillCounts(t *testing.T) {
+	gate, now := NewGate(nil), time.Unix(1000, 0)
+	idle := Idle{First: 40 * time.Millisecond, Whole: 160 * time.Millisecond}
+	for range 5 {
+		gate.Ended(gate.Sent("s", newProgram("x"), idle, now.Add(-3*time.Second)), now)
+	}
+	_, _, load := gate.Decide("s", newProgram("p"), 3*time.Second, now)
+	require.True(t, load.Crowded())
+	require.Equal(t, 5*(3*time.Second-idle.First), load.Behind.Excess)
+}
+
+func TestNobodyWaitsForATurnThatCannotEndInTime(t *testing.T) {
+	program := newProgram("p")
+	program.Returns = true
+	hopeless := ask(program)
+	hopeless.Left = 500 * time.Millisecond
+	require.Equal(t, Leaves, Decide(hopeless, crowded(time.Second)).Reason)
+	require.True(t, Decide(hopeless, Load{}).In, "on a calm system it may try")
+}
+
 func TestUrgentTurnsDoNotWaitForLessUrgentOnes(t *testing.T) {
 	gate, now := NewGate(nil), time.Unix(1000, 0)
 	seeGate(gate, 2*time.Second, now)
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -92,11 +92,14 @@
 	sending.window.first(sending, now)
 }
 
-// Ended takes in that no first event of a turn comes any more.
-func (g *Gate) Ended(sending *Sending) {
+// Ended takes in that no first event of a turn comes any more. What it waited for until then counts.
+func (g *Gate) Ended(sending *Sending, now time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	delete(sending.window.pending, sending)
+	if _, waited := sending.excess(now); waited {
+		sending.window.first(sending, now)
+	}
 }
 
 // Declined takes in that a worker said that it is full.
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -198,6 +198,10 @@
 	if program.failed {
 		return
 	}
+	if m.left(turn) <= 0 {
+		program.failed = true
+		return
+	}
 	turn.node = m.nodes[(len(program.name)*7+int(rank(program.name)*modelNodes)+turn.tries+turn.sends)%modelNodes]
 	turn.came = m.now
 	turn.turn = standing.Turn{
@@ -207,7 +211,7 @@
 	}
 	stands := turn.node.learner.Begin(turn.turn, m.clock())
 	if m.admits {
-		verdict, _, _ := turn.node.gate.Decide("models", stands, turn.begun+modelDeadline-m.now, m.clock())
+		verdict, _, _ := turn.node.gate.Decide("models", stands, m.left(turn), m.clock())
 		if !verdict.In {
 			m.refuse(turn, verdict.After)
 			return
@@ -241,9 +245,16 @@
 	return free
 }
 
+// left is how long a turn's client still waits: callers leave once twice the time has passed that they
+// gave their program.
+func (m *model) left(turn *modelTurn) time.Duration {
+	program := turn.program
+	return min(turn.begun+modelDeadline, program.began+2*program.given) - m.now
+}
+
 // again lets a turn's client come back, or its caller send it anew, as long as they do.
 func (m *model) again(turn *modelTurn, after time.Duration) {
-	left := turn.begun + modelDeadline - m.now
+	left := m.left(turn)
 	if turn.tries++; turn.tries < modelTries && left > 0 {
 		m.after(min(after, left/3), func() { m.send(turn) })
 		return
@@ -294,7 +305,7 @@
 		})
 		one.queue = slices.Insert(one.queue, at, turn)
 	default:
-		turn.leaves()
+		turn.leaves(m.clock())
 		turn.node.gate.Declined("models", turn.program.kind.urgency, m.clock())
 		turn.node.learner.End(turn.turn, standing.Took{Failed: true}, m.clock())
 		m.again(turn, time.Duration(120+m.random.IntN(120))*time.Millisecond)
@@ -302,9 +313,9 @@
 }
 
 // leaves notes that no first event of the turn comes.
-func (t *modelTurn) leaves() {
+func (t *modelTurn) leaves(now time.Time) {
 	if t.sending != nil {
-		t.node.gate.Ended(t.sending)
+		t.node.gate.Ended(t.sending, now)
 	}
 }
 
@@ -331,11 +342,11 @@
 	for len(worker.queue) > 0 {
 		next := worker.queue[0]
 		worker.queue = worker.queue[1:]
-		if m.now-next.begun < modelDeadline {
+		if m.left(next) > 0 {
 			m.run(worker, next)
 			return
 		}
-		next.leaves()
+		next.leaves(m.clock())
 		next.node.learner.End(next.turn, standing.Took{Failed: true, Whole: m.now - next.came}, m.clock())
 		next.tries = modelTries
 		m.again(next, 0)
--- a/internal/forward/standing.go
+++ b/internal/forward/standing.go
@@ -109,7 +109,7 @@
 // noteNoFirst takes in that no first event comes from the worker that was asked.
 func (x *exchange) noteNoFirst() {
 	if x.standing.sending != nil {
-		x.options.Admission.Ended(x.standing.sending)
+		x.options.Admission.Ended(x.standing.sending, time.Now())
 		x.standing.sending = nil
 	}
 }
