--- a/internal/forward/note.go
+++ b/internal/forward/note.go
@@ -52,7 +52,7 @@
 	m.TurnedAway = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_sends_turned_away_total", Help: "Sends that were not made because the worker chosen may not get the request, by why."}, []string{"verdict"})
 	m.AttemptsDropped = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_attempts_dropped_total", Help: "Workers that no longer count against a request's attempts, by what was observed."}, []string{"observed"})
 	m.BeyondAttempts = counter("requests_beyond_attempts_total", "Requests that may have run at more workers than their route allows, those included that have ended.")
-	m.Admissions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "program_admissions_total", Help: "Turns of programs with a time by why they were let in (under_way, room, in_time, promised, untimed) or refused (too_late, crowded)."}, []string{"reason"})
+	m.Admissions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "program_admissions_total", Help: "Turns of programs with a time by why they were let in (under_way, room, in_time, promised, untimed) or refused (too_late, crowded, leaves)."}, []string{"reason"})
 	registry.MustRegister(m.Admissions, m.Requests, m.Duration, m.FirstEvent, m.Ways, m.TurnedAway, m.AttemptsDropped)
 	return m
 }
