Admission: who returns when told comes before new ones at the worker, too; turns under way cost no look

The worker was told the class of a new program for one that came back as told. TestWhoReturnsWhenToldComesBeforeWhoIsNew fails without the change (both had priority 3).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -46,6 +46,10 @@
 
 // Decide decides on a program's turn, and remembers whom it told to come back.
 func (g *Gate) Decide(service string, program standing.Program, left time.Duration, now time.Time) (Verdict, Ask, Load) {
+	ask := Ask{Program: program, Left: left}
+	if !program.Begins {
+		return Decide(ask, Load{}), ask, Load{}
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	w := g.window(queue{service, program.Urgency})
@@ -53,21 +57,19 @@
 	if g.keepers != nil {
 		load.Keeper = g.keepers.Busy(service)
 	}
+	ask.Pace = float64(let) / span.Seconds()
 	if load.Crowded() {
 		w.crowded = now
+		ask.Ahead = g.told.ahead(now)
 	}
 	key := xxhash.Sum64String(program.Key)
-	if program.Begins {
-		program.Returns = program.Returns || g.told.comes(key, now)
-	}
-	ask := Ask{Program: program, Left: left, Ahead: g.told.ahead(now), Pace: float64(let) / span.Seconds()}
+	ask.Program.Returns = g.told.comes(key, now)
 	verdict := Decide(ask, load)
-	switch {
-	case !verdict.In:
-		g.told.add(key, now.Add(verdict.After))
-	case program.Begins:
+	if verdict.In {
 		w.at(now).let++
 		delete(g.told.returns, key)
+	} else {
+		g.told.add(key, now.Add(verdict.After))
 	}
 	return verdict, ask, load
 }
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -211,11 +211,12 @@
 	}
 	stands := turn.node.learner.Begin(turn.turn, m.clock())
 	if m.admits {
-		verdict, _, _ := turn.node.gate.Decide("models", stands, m.left(turn), m.clock())
+		verdict, ask, _ := turn.node.gate.Decide("models", stands, m.left(turn), m.clock())
 		if !verdict.In {
 			m.refuse(turn, verdict.After)
 			return
 		}
+		stands.Returns = ask.Program.Returns
 	}
 	turn.stands = stands
 	first := 2 * program.kind.urgency
--- a/internal/forward/standing.go
+++ b/internal/forward/standing.go
@@ -37,6 +37,7 @@
 	}
 	s := &x.standing
 	s.verdict, s.ask, s.load = x.options.Admission.Decide(x.service, s.now, timeLeft(ctx), time.Now())
+	s.now.Returns = s.ask.Program.Returns
 	x.options.Metrics.Admissions.WithLabelValues(string(s.verdict.Reason)).Inc()
 	if s.verdict.In {
 		return nil
--- a/internal/forward/standing_test.go
+++ b/internal/forward/standing_test.go
@@ -119,6 +119,25 @@
 	})
 }
 
+func TestWhoReturnsWhenToldComesBeforeWhoIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		turn := turnRoute(retained)
+		f := newFixture(t, turn)
+		f.before(turn, 2)
+		f.forwarder.options.Admission = admission.NewGate(nil)
+		f.worker("w", streams(2, 0))
+		timed := func(program string) func(*Request) {
+			return func(r *Request) { r.ID, r.Program, r.Timed, r.Finish = program, program, true, time.Second }
+		}
+		overloaded(f.forwarder.options.Admission, 0)
+		told := f.serve(t.Context(), timed("told")).refusal
+		require.NotNil(t, told)
+		time.Sleep(told.RetryAfter)
+		fresh := serveTurn(t, f, timed("new"))
+		require.Less(t, serveTurn(t, f, timed("told")), fresh)
+	})
+}
+
 func TestWhatIsUnderWayIsServedUnderOverload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		turn := turnRoute(retained)
