--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,12 +9,14 @@
 
 	"github.com/apex/log"
 
+	"github.com/cloverwheel/cloverwheel/internal/admission"
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/room"
 	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/standing"
 	"github.com/cloverwheel/cloverwheel/internal/tenant"
 	"github.com/cloverwheel/cloverwheel/internal/wait"
 )
@@ -49,8 +51,12 @@
 	// Isolated reports whether this node reaches neither the table nor nodes elsewhere;
 	// nil: it always does.
 	Isolated func() bool
-	Metrics  *Metrics
-	Logger   log.Interface
+	// Standing learns how long programs take; nil: nothing is known of it.
+	Standing *standing.Learner
+	// Admission decides which programs begin; nil: all do.
+	Admission *admission.Gate
+	Metrics   *Metrics
+	Logger    log.Interface
 }
 
 // Forwarder serves requests by the configuration in force.
@@ -135,6 +141,7 @@
 	answered  bool // the client has its final answer
 	lastEvent string
 	output    []byte
+	standing  program // whose request it is, and how it stands
 }
 
 // Serve answers a request. ctx ends when the client leaves.
@@ -286,6 +293,7 @@
 		Resume:   x.lastEvent,
 		Priority: x.priority(),
 	}
+	x.noteSent()
 	if x.tenant != nil {
 		call.Tenant = x.tenant.Name
 	}
@@ -296,21 +304,6 @@
 	return x.options.Transport.Send(ctx, worker, call)
 }
 
-// Steps of a worker's priority.
-const (
-	lowestPriority  = 9
-	priorityStep    = 2
-	firstTurnBehind = 1 // programs under way come before new ones
-)
-
-func (x *exchange) priority() int {
-	priority := x.route.Priority * priorityStep
-	if x.home == "" {
-		priority += firstTurnBehind
-	}
-	return min(priority, lowestPriority)
-}
-
 func (x *exchange) exclude(worker string) { x.excluded = append(x.excluded, worker) }
 
 // ended tells the final answer when the request's time is over or its client gone.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -172,6 +172,7 @@
 	x.place.Declined()
 	x.noteTried(worker, "declined")
 	x.declines++
+	x.noteDecline()
 	x.exclude(worker.Key())
 	x.options.Metrics.Declines.Inc()
 	return false
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -81,6 +81,7 @@
 	limited, dog := x.watch(ctx, worker, streamStall, false)
 	defer dog.stop()
 	x.clock.enter(stepFirstEvent, time.Now())
+	defer x.noteNoFirst()
 	answer, err := x.send(limited, worker)
 	if err != nil {
 		return x.failed(ctx, limited, worker, err)
@@ -189,6 +190,7 @@
 		return nil
 	}
 	x.started = true
+	x.noteFirst()
 	x.options.Metrics.FirstEvent.Observe(time.Since(x.begun).Seconds())
 	if err := x.out.Start(answer.Status, answer.Header, unknownLength); err != nil {
 		return errClient
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cloverwheel/cloverwheel/internal/admission"
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/directory"
@@ -25,6 +26,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
 	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/standing"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 	"github.com/cloverwheel/cloverwheel/internal/sweep"
 )
@@ -187,6 +189,8 @@
 			Finder:     finder,
 			Prober:     options.Prober,
 			Room:       core.room.forRequests(),
+			Standing:   standing.NewLearner(),
+			Admission:  admission.NewGate(nil),
 			Metrics:    options.Metrics.Requests,
 			Logger:     options.Logger,
 		}),
