Admission hears the keepers' word of how full a service's workers are

Change: the mean busy share of a service's groups, not older than half a second, tells whether there are queues, and how long a turn waits in them.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -57,8 +57,6 @@
 	fullyBusy = 1.0
 	// freshFor is how old the newest sign of queues may be: about what a turn takes.
 	freshFor = 500 * time.Millisecond
-	// keeperAge is how old a keeper's word may be.
-	keeperAge = 500 * time.Millisecond
 	// A program whose slack is the sum of the waits that it must expect would end in time if these
 	// grew no further. Refusing begins above that and is complete below, so that nodes do not let
 	// in all programs in one moment and none in the next.
@@ -72,6 +70,9 @@
 	retrySpread = 0.3
 )
 
+// KeeperAge is how old a keeper's word may be.
+const KeeperAge = 500 * time.Millisecond
+
 // Decide decides whether a program is let in, or when it may come back.
 func Decide(ask Ask, load Load) Verdict {
 	program := ask.Program
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -69,9 +69,15 @@
 	Age  time.Duration
 }
 
+// queue is how long a turn waits at a worker: until what waits before it has had its places, each for
+// as long as a turn takes.
+func (k *Keeper) queue(idle time.Duration) time.Duration {
+	return time.Duration(max(0, k.Busy-fullyBusy) * float64(idle))
+}
+
 // Crowded reports whether all that is known says that the workers have queues.
 func (l Load) Crowded() bool {
-	if l.Keeper != nil && l.Keeper.Age <= keeperAge {
+	if l.Keeper != nil && l.Keeper.Age <= KeeperAge {
 		return l.Keeper.Busy > fullyBusy
 	}
 	if l.Free || l.Age > freshFor {
@@ -85,6 +91,9 @@
 // Wait is what a program that begins now has to wait in all its turns.
 func (l Load) Wait(turns int) time.Duration {
 	wait := l.Behind.mean() + time.Duration(max(0, turns-1))*l.Ahead.mean()
+	if l.Keeper != nil {
+		wait = max(wait, time.Duration(max(1, turns))*l.Keeper.queue(l.Idle))
+	}
 	if l.Declines == 0 {
 		return wait
 	}
--- a/internal/room/reporter.go
+++ b/internal/room/reporter.go
@@ -338,3 +338,27 @@
 	}
 	return places
 }
+
+// Busy is the mean share of places taken in the groups of a service in which this node has something
+// running, by their keepers' words, and the age of the oldest of them. Words older than longest do not
+// count; known is false if there are no others.
+func (r *Reporter) Busy(service string, longest time.Duration) (busy float64, age time.Duration, known bool) {
+	now := time.Now()
+	words := 0
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for group, tally := range r.tallies {
+		if group.Service != service {
+			continue
+		}
+		if word, since, ok := tally.Busy(now); ok && since <= longest {
+			words++
+			busy += word
+			age = max(age, since)
+		}
+	}
+	if words == 0 {
+		return 0, 0, false
+	}
+	return busy / float64(words), age, true
+}
--- a/internal/server/room.go
+++ b/internal/server/room.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cloverwheel/cloverwheel/internal/admission"
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/directory"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
@@ -65,6 +66,23 @@
 	return r.reporter
 }
 
+// Busy implements admission.Keepers.
+func (r *rooms) Busy(service string) *admission.Keeper {
+	busy, age, known := r.reporter.Busy(service, admission.KeeperAge)
+	if !known {
+		return nil
+	}
+	return &admission.Keeper{Busy: busy, Age: age}
+}
+
+// forAdmission is who tells how full a service's workers are; nil if nobody does.
+func (r *rooms) forAdmission() admission.Keepers {
+	if r == nil {
+		return nil
+	}
+	return r
+}
+
 // kept reports whether room is kept for a service.
 func (r *rooms) kept(service string) bool { return r.service(service).Places > 0 && r.whole() }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -190,7 +190,7 @@
 			Prober:     options.Prober,
 			Room:       core.room.forRequests(),
 			Standing:   standing.NewLearner(),
-			Admission:  admission.NewGate(nil),
+			Admission:  admission.NewGate(core.room.forAdmission()),
 			Metrics:    options.Metrics.Requests,
 			Logger:     options.Logger,
 		}),
