Experience: a board merges what nodes have seen of workers, and ejects with a bound

Cause: each node learns failures and pace of a worker for itself, from a request in some seconds; a worker that fails 45% of its requests behind a good health check is hardly ever found by three failures in a row.

Change: experience.Board merges samples of all nodes by weight and age. A worker is ejected once the failures seen speak clearly for a bad one beside its fellows' median share, with the loudest node left out and nodes that see failures at most of their workers discounted; at most 30% of a group and no more than the load can spare; tried again by single requests for the whole fleet, in rounds that double. Slow workers cost, they are not ejected.

--- a/internal/experience/experience.go
+++ b/internal/experience/experience.go
@@ -13,16 +13,25 @@
 	Failures int
 	// Silences are requests that got no first event within what is usual.
 	Silences int
-	// Pace is the mean time of a token over Paced tokens; 0: none was seen.
+	// Pace is the mean time of a token over Paced measurements; 0: none was seen.
 	Pace  time.Duration
 	Paced int
 }
 
-// Verdict is what the merged experience says of a worker.
+// Verdict is what the merged experience says of a worker. One that has Worker alone takes back what
+// was said before: the worker may get all requests again.
 type Verdict struct {
 	Worker string
 	// Until is for how much longer it should get no requests but trials; 0: it may get all.
 	Until time.Duration
-	// Cost is what sending a request there is expected to cost beyond a sound worker.
+	// Trial says that the node that gets this verdict may send one request there nevertheless. No
+	// other node is told so until its outcome is known or has not come.
+	Trial bool
+	// Slow is how many times as long as at its fellows a token takes there; 0: it is like them.
+	Slow float64
+	// Cost is what sending a request there is expected to cost beyond a sound worker, its pace apart.
 	Cost time.Duration
 }
+
+// Clear reports whether the verdict speaks for the worker.
+func (v Verdict) Clear() bool { return v.Until <= 0 && v.Slow == 0 && v.Cost == 0 }
