Workers: what was seen of them is told, and what all nodes say of them counts in the choice

Cause: the board needs samples of each node, and its verdicts must reach the choice of a worker.

Change: requests that ended, failures, silences before a first event and paces are counted where they are noted today, by worker and since they were last taken (two seconds at most). A verdict keeps requests away, makes a worker cost more or count as slow; it lapses, is bounded, gives way to what the node has seen for itself once it is half a second old, and is taken back by a clear one. A trial is made by one request that may fail there and go elsewhere. A node that hears no verdicts chooses as before.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -28,6 +28,8 @@
 	Keepers []string
 	// Regions are those in which the request may be served.
 	Regions locality.Regions
+	// Spare says that the request may fail at a worker and go to another one.
+	Spare bool
 	// Warm says that no cold worker may be chosen.
 	Warm    bool
 	Exclude []string // keys of workers that may not be chosen
@@ -65,9 +67,13 @@
 // Choose picks the worker for a request. It fails with fault.Unavailable if
 // there is none.
 func (r *Registry) Choose(query Query) (*Worker, error) {
+	if worker, ok := r.toTry(query); ok {
+		return worker, nil
+	}
 	workers := r.shortlist(query)
 	now := r.options.Now()
 	candidates := make([]place.Candidate, 0, len(workers))
+	slowness := make([]float64, 0, len(workers))
 	for _, worker := range workers {
 		verdict := r.Check(worker, query.Regions)
 		if verdict.Refused() || verdict == permit.Metered && query.Warm {
@@ -79,8 +85,9 @@
 			candidate.Wait += waitOfCold
 		}
 		candidates = append(candidates, candidate)
+		slowness = append(slowness, worker.slowness(now))
 	}
-	levelSteps(candidates, query.Output)
+	levelSteps(candidates, slowness, query.Output)
 	exclude := make([]id.Worker, len(query.Exclude))
 	for index, worker := range query.Exclude {
 		exclude[index] = id.Worker(worker)
@@ -235,7 +242,7 @@
 	candidate := place.Candidate{
 		Worker:       id.Worker(w.key),
 		Zone:         w.record.Zone,
-		Healthy:      !now.Before(w.avoidUntil),
+		Healthy:      !now.Before(w.avoidUntil) && !w.ejected(now),
 		Leaving:      w.record.Draining,
 		ModelLoaded:  true,
 		AdapterReady: true,
@@ -246,6 +253,8 @@
 	if query.Prompt == 0 {
 		w.weighConnection(&candidate)
 	}
+	cost, _ := w.cost(now)
+	candidate.Wait += cost
 	if now.Before(w.busyUntil) {
 		candidate.Wait += waitOfBusy
 	}
@@ -273,11 +282,12 @@
 }
 
 // levelSteps sets the times to decode. Paces within slowStep of the median
-// count as alike, so that chance does not draw all requests to one worker.
-func levelSteps(candidates []place.Candidate, output int) {
+// count as alike, so that chance does not draw all requests to one worker. Where all nodes together
+// tell how slow a worker is, that counts in place of its pace at this node.
+func levelSteps(candidates []place.Candidate, slowness []float64, output int) {
 	steps := make([]time.Duration, 0, len(candidates))
-	for _, candidate := range candidates {
-		if candidate.Step > 0 {
+	for index, candidate := range candidates {
+		if candidate.Step > 0 && slowness[index] == 0 {
 			steps = append(steps, candidate.Step)
 		}
 	}
@@ -291,6 +301,9 @@
 		if float64(step) < slowStep*float64(median) {
 			step = median
 		}
+		if slowness[index] > 0 {
+			step = time.Duration(slowness[index] * float64(median))
+		}
 		candidates[index].Step = step
 		candidates[index].Decode = time.Duration(output) * step
 	}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -58,6 +58,8 @@
 	services map[string]roster
 	vanished map[string][]vanished
 	silences map[string]*Silences
+	untold   untold
+	trials   trials
 	lost     chan *Worker              // workers that took no connection
 	heard    atomic.Pointer[time.Time] // when the list of workers was last heard of
 }
@@ -89,6 +91,7 @@
 		services: map[string]roster{},
 		vanished: map[string][]vanished{},
 		silences: map[string]*Silences{},
+		untold:   untold{services: map[string]map[*Worker]struct{}{}},
 		lost:     make(chan *Worker, lostBacklog),
 	}
 }
--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -44,6 +44,10 @@
 	avoidUntil time.Time
 	busyUntil  time.Time
 	step       time.Duration // between two tokens; 0: unknown
+	answeredAt time.Time     // when the newest request ended whose outcome tells of the worker
+	pacedAt    time.Time     // when its pace was last measured
+	seen       seen          // and not told to a keeper of its group
+	verdict    verdict
 	// served is by priority when the newest request that was answered had been sent; nil: none was.
 	served *[Priorities]time.Time
 }
@@ -94,6 +98,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.gone = true
+	w.registry.untold.drop(w)
 	if w.pool != nil {
 		w.pool.Close()
 	}
@@ -137,6 +142,9 @@
 func (w *Worker) Answered() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	now := w.registry.options.Now()
+	w.answeredAt = now
+	w.noteEnded(now, 0)
 	w.failures -= w.failures * failureWeight
 	w.inARow = 0
 	w.avoidFor = 0
@@ -175,6 +183,11 @@
 func (w *Worker) Paced(step time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	now := w.registry.options.Now()
+	w.pacedAt = now
+	known := w.note(now)
+	known.paced++
+	known.spent += step
 	w.step = average(w.step, step)
 }
 
@@ -226,6 +239,8 @@
 	share := w.failureShare(now)
 	w.failures = share + (1-share)*failureWeight
 	w.failedAt = now
+	w.answeredAt = now
+	w.noteEnded(now, 1)
 }
 
 // failureShare is the share of broken answers now: without it halving, a worker
--- a/internal/experience/board.go
+++ b/internal/experience/board.go
@@ -9,7 +9,7 @@
 	// judgeEvery is the time between two judgements of a group.
 	judgeEvery = 100 * time.Millisecond
 	// verdictLasts is for how long a verdict counts at a node that hears no other.
-	verdictLasts = 500 * time.Millisecond
+	verdictLasts = time.Second
 	// tellClear is for how long nodes are told that nothing speaks against a worker any more.
 	tellClear = 3 * time.Second
 	// forgetAfter is how long after the last word of it a node or a worker is forgotten.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -221,6 +221,7 @@
 		Keepers:    x.keepers,
 		Output:     x.request.Output,
 		Regions:    x.regions(),
+		Spare:      x.movable(""),
 		Warm:       x.coldAsks >= maxColdAsks,
 		Exclude:    x.excluded,
 	}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -153,6 +153,9 @@
 	if w.last.After(begun) {
 		return // it was heard meanwhile, and the wait for it begun anew
 	}
+	if w.checks == 0 && !w.begun.Load() {
+		w.worker.FellSilent(begun)
+	}
 	w.checks++
 	if err != nil {
 		w.miss(begun, err)
