--- a/internal/experience/board.go
+++ b/internal/experience/board.go
@@ -58,19 +58,21 @@
 
 // worker is what is known of one incarnation of a worker.
 type worker struct {
-	key      string
-	cells    map[string]*cell // by node
-	recent   tally
-	newest   time.Time
-	charged  charge
-	step     float64 // time of a token; 0: unknown
-	slow     float64
-	cost     time.Duration
-	doubted  bool // failures were told since it last was beyond doubt
-	ejection *ejection
-	lastWait time.Duration // of the last ejection
-	back     time.Time     // when that ended
-	spoken   time.Time     // when something last spoke against it
+	key       string
+	cells     map[string]*cell // by node
+	recent    tally
+	newest    time.Time
+	charged   charge
+	step      float64 // time of a token; 0: unknown
+	slow      float64
+	pacedAt   time.Time // when its pace was last known
+	nextPaced time.Time // when it may next be tried for being slow
+	cost      time.Duration
+	doubted   bool // failures were told since it last was beyond doubt
+	ejection  *ejection
+	lastWait  time.Duration // of the last ejection
+	back      time.Time     // when that ended
+	spoken    time.Time     // when something last spoke against it
 }
 
 // New returns an empty board. onChange is told each decision; it may be nil.
@@ -215,10 +217,12 @@
 
 func (w *worker) verdict(now time.Time) Verdict {
 	verdict := Verdict{Worker: w.key, Slow: w.slow, Cost: w.cost}
-	if w.ejection != nil {
-		verdict.Until = max(w.ejection.next.Sub(now), verdictLasts)
-		verdict.Trial = w.ejection.hand(now)
+	if w.ejection == nil {
+		verdict.Trial = w.tryPace(now)
+		return verdict
 	}
+	verdict.Until = max(w.ejection.next.Sub(now), verdictLasts)
+	verdict.Trial = w.ejection.hand(now)
 	return verdict
 }
 
--- a/internal/experience/board_test.go
+++ b/internal/experience/board_test.go
@@ -304,3 +304,48 @@
 		}
 	})
 }
+
+// paced lets nodes tell how long a token takes at each worker.
+func (g *group) paced(nodes int, step func(worker int) time.Duration) {
+	g.now = g.now.Add(judgeEvery)
+	for node := range nodes {
+		var samples []Sample
+		for worker := range g.workers {
+			if pace := step(worker); pace > 0 {
+				samples = append(samples, Sample{Worker: key(worker), Requests: 1, Pace: pace, Paced: 3})
+			}
+		}
+		g.board.Add(fmt.Sprint("n", node), samples, g.now)
+	}
+}
+
+// TestSlowWorkerStaysSlowUntilATrialShowsOtherwise: it gets no requests by which that would show.
+func TestSlowWorkerStaysSlowUntilATrialShowsOtherwise(t *testing.T) {
+	g := newGroup(10)
+	g.paced(5, func(worker int) time.Duration { return wellPaced * time.Duration(1+4*oneIn(worker == 0, 1)) })
+	verdicts := g.board.Verdicts(g.workers, g.now)
+	require.Len(t, verdicts, 1)
+	require.InDelta(t, 5, verdicts[0].Slow, 0.1)
+	sound := func(worker int) time.Duration { return wellPaced * time.Duration(oneIn(worker > 0, 1)) }
+	trials := 0
+	for range 20 {
+		g.paced(5, sound)
+		trials += len(g.trials(10))
+		require.Positive(t, g.board.Verdicts(g.workers, g.now)[0].Slow)
+	}
+	require.InDelta(t, float64(20*judgeEvery/slowTrialEvery), trials, 1)
+	g.board.Add("n7", []Sample{{Worker: key(0), Requests: 1, Pace: wellPaced, Paced: 3}}, g.now)
+	g.paced(5, sound)
+	require.True(t, g.board.Verdicts(g.workers, g.now)[0].Clear())
+}
+
+// TestSlowWorkerThatNobodyTries counts as the others after a while.
+func TestSlowWorkerThatNobodyTries(t *testing.T) {
+	g := newGroup(10)
+	g.paced(5, func(worker int) time.Duration { return wellPaced * time.Duration(1+4*oneIn(worker == 0, 1)) })
+	require.Len(t, g.board.Verdicts(g.workers, g.now), 1)
+	g.now = g.now.Add(slowUntried - judgeEvery)
+	require.Positive(t, g.board.Verdicts(g.workers, g.now)[0].Slow)
+	g.now = g.now.Add(judgeEvery)
+	require.True(t, g.board.Verdicts(g.workers, g.now)[0].Clear())
+}
--- a/internal/experience/experience.go
+++ b/internal/experience/experience.go
@@ -24,8 +24,8 @@
 	Worker string
 	// Until is for how much longer it should get no requests but trials; 0: it may get all.
 	Until time.Duration
-	// Trial says that the node that gets this verdict may send one request there nevertheless. No
-	// other node is told so until its outcome is known or has not come.
+	// Trial says that the node that gets this verdict is to send one request there nevertheless, for
+	// all nodes.
 	Trial bool
 	// Slow is how many times as long as at its fellows a token takes there; 0: it is like them.
 	Slow float64
--- a/internal/experience/slow.go
+++ b/internal/experience/slow.go
@@ -6,7 +6,11 @@
 	// slowFrom is how many times as long as the median a token must take to count as slow.
 	slowFrom = 1.3
 	// enoughPaced is the weight of measurements that tell a worker's pace.
-	enoughPaced = 3.0
+	enoughPaced = 2.0
+	// slowTrialEvery is the time between two trials of a slow worker that gets few requests, and
+	// slowUntried after how long without a measurement it is taken to be like others.
+	slowTrialEvery = 500 * time.Millisecond
+	slowUntried    = 5 * time.Second
 	// fewestPaced is how many workers must have shown their pace for one to be slow.
 	fewestPaced = 3
 	// costOfFailure is what a sure failure is taken to cost: the time until another worker is asked.
@@ -44,14 +48,34 @@
 	fellows := fellowShare(workers, now)
 	silent := fellowSilence(workers)
 	for _, known := range workers {
-		known.slow = 0
-		if len(steps) >= fewestPaced && known.step >= slowFrom*usual && usual > 0 {
-			known.slow = known.step / usual
-		}
+		known.judgePace(usual, len(steps), now)
 		known.cost = known.costBeside(fellows, silent)
 	}
 }
 
+// judgePace decides whether a worker is slow beside what is usual for so many. One that gets no
+// requests because it was slow stays so until a trial shows otherwise.
+func (w *worker) judgePace(usual float64, shown int, now time.Time) {
+	switch {
+	case w.step == 0 && now.Sub(w.pacedAt) < slowUntried:
+		return
+	case w.step == 0 || shown < fewestPaced || w.step < slowFrom*usual:
+		w.slow = 0
+	default:
+		w.slow = w.step / usual
+	}
+	w.pacedAt = now
+}
+
+// tryPace reports whether the asker may send a slow worker one request.
+func (w *worker) tryPace(now time.Time) bool {
+	if w.slow == 0 || now.Before(w.nextPaced) {
+		return false
+	}
+	w.nextPaced = now.Add(slowTrialEvery)
+	return true
+}
+
 // fellowSilence is the median share of silences of workers.
 func fellowSilence(workers []*worker) float64 {
 	shares := make([]weighed, 0, len(workers))
