--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -67,7 +67,7 @@
 // Choose picks the worker for a request. It fails with fault.Unavailable if
 // there is none.
 func (r *Registry) Choose(query Query) (*Worker, error) {
-	if worker, ok := r.toTry(query); ok {
+	if worker, ok := r.Trial(query); ok {
 		return worker, nil
 	}
 	workers := r.shortlist(query)
--- a/internal/backend/experience.go
+++ b/internal/backend/experience.go
@@ -239,9 +239,16 @@
 	return slowness
 }
 
-// toTry is a worker that a request is to try for all nodes: one that may fail there without harm,
-// and has no context elsewhere.
-func (r *Registry) toTry(query Query) (*Worker, bool) {
+// Ejected reports whether all nodes together keep requests from the worker.
+func (w *Worker) Ejected(now time.Time) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.ejected(now)
+}
+
+// Trial is a worker that a request is to try for all nodes: one that may fail there without harm,
+// and has no context elsewhere. It is given out once.
+func (r *Registry) Trial(query Query) (*Worker, bool) {
 	if r.trials.waiting.Load() == 0 || !query.Spare || len(query.Only) > 0 {
 		return nil, false
 	}
--- a/internal/backend/experience_test.go
+++ b/internal/backend/experience_test.go
@@ -86,7 +86,9 @@
 			said.Worker = "w1"
 			registry.NoteVerdicts([]experience.Verdict{said, {Worker: "unknown", Until: time.Second}})
 			require.Zero(t, registry.chosen(t, nil)["w1"])
+			require.Equal(t, said.Until > 0, registry.get("w1").Ejected(registry.now))
 			registry.pass(longestVerdict)
+			require.False(t, registry.get("w1").Ejected(registry.now))
 			require.Positive(t, registry.chosen(t, nil)["w1"], "it has lapsed")
 			registry.NoteVerdicts([]experience.Verdict{said})
 			require.Zero(t, registry.chosen(t, nil)["w1"])
--- a/internal/experience/board.go
+++ b/internal/experience/board.go
@@ -44,6 +44,18 @@
 	Busy   float64       // share of the group's places that were taken
 }
 
+// Event names the decision.
+func (c Change) Event() string {
+	switch {
+	case !c.Out:
+		return "back"
+	case c.Reason == Tried:
+		return "tried again"
+	default:
+		return "ejected"
+	}
+}
+
 // Board merges the experience of all nodes with the workers of one group. It takes one caller at a
 // time.
 type Board struct {
@@ -182,9 +194,7 @@
 // against, and those of which that has ended a moment ago. A trial is handed out once, so each
 // call must be for one answer.
 func (b *Board) Verdicts(workers []string, now time.Time) []Verdict {
-	if now.Sub(b.judged) >= judgeEvery || !slices.Equal(workers, b.group) {
-		b.judge(workers, now)
-	}
+	b.judgeIfDue(workers, now)
 	var verdicts []Verdict
 	for _, key := range workers {
 		known, ok := b.workers[key]
@@ -202,6 +212,12 @@
 	return verdicts
 }
 
+func (b *Board) judgeIfDue(workers []string, now time.Time) {
+	if now.Sub(b.judged) >= judgeEvery || !slices.Equal(workers, b.group) {
+		b.judge(workers, now)
+	}
+}
+
 func (b *Board) judge(workers []string, now time.Time) {
 	b.judged, b.group = now, slices.Clone(workers)
 	known := make([]*worker, 0, len(workers))
--- /dev/null
+++ b/internal/server/experiencemetrics_test.go
@@ -0,0 +1,43 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/experience"
+)
+
+type named string
+
+func (n named) String() string { return string(n) }
+
+func TestDecisionsOnWorkersAreLoggedAndCounted(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	metrics := newExperienceMetrics(registry)
+	handler := memory.New()
+	logger := &log.Logger{Handler: handler, Level: log.InfoLevel}
+	for _, change := range []experience.Change{
+		{Worker: "w@1", Out: true, Reason: experience.Failing, Share: 0.456, Weight: 20.5, Nodes: 9, Wait: time.Second, Busy: 0.5},
+		{Worker: "w@1", Out: true, Reason: experience.Tried, Wait: 2 * time.Second},
+		{Worker: "w@1", Reason: experience.Sound, Lasted: 3 * time.Second},
+	} {
+		metrics.Noted(logger, named("s/a/0"), change)
+	}
+	require.Len(t, handler.Entries, 3)
+	require.Equal(t, "worker ejected", handler.Entries[0].Message)
+	require.Equal(t, log.Fields{
+		"worker": "w@1", "group": "s/a/0", "reason": "failing", "share": 0.45, "weight": 20.5, "nodes": 9, "busy": 0.5, "wait_ms": int64(1000),
+	}, handler.Entries[0].Fields)
+	require.Equal(t, "worker tried again", handler.Entries[1].Message)
+	require.Equal(t, "worker back", handler.Entries[2].Message)
+	require.Equal(t, int64(3000), handler.Entries[2].Fields["lasted_ms"])
+	var counted dto.Metric
+	require.NoError(t, metrics.decisions.WithLabelValues("back", "sound").Write(&counted))
+	require.Equal(t, 1.0, counted.GetCounter().GetValue())
+}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -17,11 +17,12 @@
 
 // Metrics are a node's counters and histograms.
 type Metrics struct {
-	Registry *prometheus.Registry
-	Requests *forward.Metrics
-	Dials    prometheus.Counter
-	Looks    prometheus.Counter // whether a worker takes connections
-	Relayed  prometheus.Counter // calls to the table that other nodes were asked for
+	Registry   *prometheus.Registry
+	Requests   *forward.Metrics
+	Experience *ExperienceMetrics
+	Dials      prometheus.Counter
+	Looks      prometheus.Counter // whether a worker takes connections
+	Relayed    prometheus.Counter // calls to the table that other nodes were asked for
 	// ForeignEntries counts entries of the list of workers that name no worker.
 	ForeignEntries prometheus.Counter
 
@@ -51,10 +52,11 @@
 func NewMetrics() *Metrics {
 	registry := prometheus.NewRegistry()
 	m := &Metrics{
-		Registry: registry,
-		Requests: forward.NewMetrics(registry),
-		Dials:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_connections_total", Help: "New connections to workers."}),
-		Looks:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_looks_total", Help: "Looks whether a silent worker takes connections."}),
+		Registry:   registry,
+		Requests:   forward.NewMetrics(registry),
+		Experience: newExperienceMetrics(registry),
+		Dials:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_connections_total", Help: "New connections to workers."}),
+		Looks:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_looks_total", Help: "Looks whether a silent worker takes connections."}),
 	}
 	m.tableCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_calls_total", Help: "Calls to the table by what they do and to which table."}, []string{"call", "table"})
 	m.tableBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_bytes_total", Help: "Bytes on connections to the table by what these carry: feeds is control, calls is work."}, []string{"carries", "direction"})
