Experience: first turns make trials where no request may be repeated

Change: a trial waits 0.2 s for a request that may fail there and go elsewhere, then a program's first turn makes it.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -30,6 +30,8 @@
 	Regions locality.Regions
 	// Spare says that the request may fail at a worker and go to another one.
 	Spare bool
+	// Begins says that the request is a program's first turn.
+	Begins bool
 	// Warm says that no cold worker may be chosen.
 	Warm    bool
 	Exclude []string // keys of workers that may not be chosen
--- a/internal/backend/experience.go
+++ b/internal/backend/experience.go
@@ -20,8 +20,10 @@
 	longestVerdict = 3 * time.Second
 	// freshVerdict is up to which age a verdict comes before what this node has seen since.
 	freshVerdict = 500 * time.Millisecond
-	// trialLasts is for how long a trial may wait for a request that may make it.
+	// trialLasts is for how long a trial may wait for a request that may make it, and spareOnly for
+	// how long it is for those that may fail there and go elsewhere.
 	trialLasts = 500 * time.Millisecond
+	spareOnly  = 200 * time.Millisecond
 	// largestCost and largestSlowness bound what a verdict may claim.
 	largestCost     = time.Second
 	largestSlowness = 100
@@ -109,12 +111,12 @@
 }
 
 // take returns the first trial that a request may make, and drops those whose time is over.
-func (t *trials) take(now time.Time, may func(*Worker) bool) (*Worker, bool) {
+func (t *trials) take(now time.Time, may func(trial) bool) (*Worker, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.all = slices.DeleteFunc(t.all, func(known trial) bool { return !now.Before(known.until) })
 	var worker *Worker
-	if index := slices.IndexFunc(t.all, func(known trial) bool { return may(known.worker) }); index >= 0 {
+	if index := slices.IndexFunc(t.all, may); index >= 0 {
 		worker = t.all[index].worker
 		t.all = slices.Delete(t.all, index, index+1)
 	}
@@ -246,15 +248,17 @@
 	return w.ejected(now)
 }
 
-// Trial is a worker that a request is to try for all nodes: one that may fail there without harm,
-// and has no context elsewhere. It is given out once.
+// Trial is a worker that a request is to try for all nodes: one that has no context elsewhere, and
+// may fail there and go to another worker. If none such comes soon, a program's first turn is to,
+// of which least is lost. A trial is given out once.
 func (r *Registry) Trial(query Query) (*Worker, bool) {
-	if r.trials.waiting.Load() == 0 || !query.Spare || len(query.Only) > 0 {
+	if r.trials.waiting.Load() == 0 || !query.Spare && !query.Begins || len(query.Only) > 0 {
 		return nil, false
 	}
 	now := r.options.Now()
-	return r.trials.take(now, func(worker *Worker) bool {
-		return worker.service == query.Service && worker.distance != locality.OtherRegion &&
+	return r.trials.take(now, func(trial trial) bool {
+		worker := trial.worker
+		return (query.Spare || trial.until.Sub(now) <= trialLasts-spareOnly) && worker.service == query.Service && worker.distance != locality.OtherRegion &&
 			(query.Home == "" || query.Home == worker.key) &&
 			!slices.Contains(query.Exclude, worker.key) &&
 			r.Check(worker, query.Regions) == permit.Allowed && worker.triable(now)
--- a/internal/backend/experience_test.go
+++ b/internal/backend/experience_test.go
@@ -144,6 +144,11 @@
 	registry.pass(trialLasts)
 	require.Zero(t, registry.chosen(t, spare)["w1"], "it was for a moment")
 	registry.NoteVerdicts([]experience.Verdict{may})
+	begins := func(q *Query) { q.Begins = true }
+	require.Zero(t, registry.chosen(t, begins)["w1"], "others come first")
+	registry.pass(spareOnly)
+	require.Equal(t, 1, registry.chosen(t, begins)["w1"])
+	registry.NoteVerdicts([]experience.Verdict{may})
 	drains("w1")(registry.Registry)
 	require.Zero(t, registry.chosen(t, spare)["w1"])
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -222,11 +222,17 @@
 		Output:     x.request.Output,
 		Regions:    x.regions(),
 		Spare:      x.movable(""),
+		Begins:     x.begins(),
 		Warm:       x.coldAsks >= maxColdAsks,
 		Exclude:    x.excluded,
 	}
 }
 
+// begins reports whether the request is a program's first turn, and nobody may have run it.
+func (x *exchange) begins() bool {
+	return x.route.Kind == route.Streaming && x.home == "" && x.request.Continue == "" && !x.attempts.any()
+}
+
 func (x *exchange) noWorker(err error) *fault.Error {
 	if x.options.Finder != nil {
 		x.options.Finder.NoteShort()
