--- a/internal/backend/experience.go
+++ b/internal/backend/experience.go
@@ -22,7 +22,7 @@
 	freshVerdict = 500 * time.Millisecond
 	// trialLasts is for how long a trial may wait for a request that may make it, and spareOnly for
 	// how long it is for those that may fail there and go elsewhere.
-	trialLasts = 500 * time.Millisecond
+	trialLasts = 800 * time.Millisecond
 	spareOnly  = 200 * time.Millisecond
 	// largestCost and largestSlowness bound what a verdict may claim.
 	largestCost     = time.Second
--- a/internal/experience/board_test.go
+++ b/internal/experience/board_test.go
@@ -187,14 +187,17 @@
 	require.Equal(t, longestWait, g.changes[len(g.changes)-1].Wait)
 }
 
-// TestTrialWithoutOutcome is made again by another node, and a worker that nobody tries is back.
+// TestTrialWithoutOutcome is offered to more and more nodes: those before had no request that may
+// make it. A worker that nobody tries is back.
 func TestTrialWithoutOutcome(t *testing.T) {
 	g := newGroup(10)
 	g.tell(3, only(1, 6))
 	g.now = g.now.Add(firstWait)
 	require.Len(t, g.trials(20), 1)
-	g.now = g.now.Add(trialLasts)
-	require.Len(t, g.trials(20), 1)
+	for _, offered := range []int{2, 4, 8, 8} {
+		g.now = g.now.Add(trialLasts)
+		require.Len(t, g.trials(20), offered)
+	}
 	g.now = g.now.Add(untried)
 	require.Empty(t, g.out())
 	require.Equal(t, Untried, g.changes[len(g.changes)-1].Reason)
--- a/internal/experience/ejection.go
+++ b/internal/experience/ejection.go
@@ -12,7 +12,9 @@
 	// lastRound is how many trials the last round has; the worker is back if all are sound.
 	lastRound = 4
 	// trialLasts is how long the outcome of a trial may take to be told.
-	trialLasts = time.Second
+	trialLasts = 1200 * time.Millisecond
+	// mostPermits is to how many nodes each trial is offered at most.
+	mostPermits = 8
 	// outcomeWeight is that of the newest outcome in a worker's share of failures.
 	outcomeWeight = 0.3
 	// untried is after how long a worker is back that nobody has tried.
@@ -28,13 +30,16 @@
 	wait   time.Duration // after a failed trial
 	next   time.Time     // when the next trial may be handed out
 	round  int           // trials of this round
-	handed int           // of them, those handed out
 	sound  int           // of them, those that went well
-	heard  time.Time     // of the last outcome
+	handed int           // permits for them that were handed out
+	// permits is to how many nodes a trial is offered: more than one if those to which it was
+	// offered had no request that may make it.
+	permits int
+	heard   time.Time // of the last outcome
 }
 
 func newEjection(share float64, wait time.Duration, now time.Time) *ejection {
-	return &ejection{since: now, share: share, wait: wait, next: now.Add(wait), round: 1, heard: now}
+	return &ejection{since: now, share: share, wait: wait, next: now.Add(wait), round: 1, permits: 1, heard: now}
 }
 
 // waitAfter is how long a worker waits for its first trial, given its last ejection.
@@ -50,11 +55,12 @@
 	if now.Before(e.next) {
 		return false
 	}
-	if e.handed >= e.round {
-		e.handed = e.sound // the outcomes of the others have not come
+	if e.handed >= e.round*e.permits {
+		e.handed = 0 // outcomes have not come
+		e.permits = min(2*e.permits, mostPermits)
 	}
 	e.handed++
-	if e.handed >= e.round {
+	if e.handed >= e.round*e.permits {
 		e.next = now.Add(trialLasts)
 	}
 	return true
