--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -1,6 +1,7 @@
 // Package backend knows the workers of each service: which there are, how they
 // have answered this node lately, and the connections to them. What it knows of
-// their load it learns from its own requests alone; nothing is asked.
+// their load it learns from its own requests alone; nothing is asked. What all
+// nodes together have seen of a worker is told to it, and counts beside that.
 package backend
 
 import (
