Experience rides on the reports of room, and its verdicts count in the choice

Keepers merge what nodes tell of workers (internal/experience) and answer with verdicts; a node that is given the trial of an ejected worker sends its next request there; a home that the fleet keeps requests from is no home for that while. Keepers' boards know the group's members and how busy it is, so that no more are ejected than the load can do without.

--- a/internal/backend/group.go
+++ b/internal/backend/group.go
@@ -47,11 +47,12 @@
 // RoundTripTo is how long a message to a zone and its answer are taken to last; 0 to the node's.
 func (r *Registry) RoundTripTo(zone string) time.Duration { return r.ways.RoundTrip(zone) }
 
-// Shunned reports whether this node has just seen the worker fail, or heard that it is full.
+// Shunned reports whether this node has just seen the worker fail, or heard that it is full, or all
+// nodes together keep requests from it.
 func (w *Worker) Shunned(now time.Time) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return now.Before(w.avoidUntil) || now.Before(w.busyUntil)
+	return now.Before(w.avoidUntil) || now.Before(w.busyUntil) || w.ejected(now)
 }
 
 // Opens returns whether a zone's workers may get a request that may be served in regions.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -209,6 +209,10 @@
 		if !x.mayRunElsewhere() {
 			only = x.attempts.counted
 		}
+		if worker, ok := x.options.Workers.Trial(x.query(only)); ok {
+			x.takePlace(worker)
+			return worker, nil
+		}
 		if worker := x.findRoom(ctx, only); worker != nil {
 			return worker, nil
 		}
--- a/internal/forward/room.go
+++ b/internal/forward/room.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	worker, ok := x.options.Workers.WorkerOf(x.home)
-	return ok && !x.options.Workers.Check(worker, x.regions()).Refused()
+	return ok && !worker.Shunned(time.Now()) && !x.options.Workers.Check(worker, x.regions()).Refused()
 }
 
 // wanted describes the request to those who know of room.
--- a/internal/server/room.go
+++ b/internal/server/room.go
@@ -9,6 +9,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/admission"
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/directory"
+	"github.com/cloverwheel/cloverwheel/internal/experience"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
@@ -35,13 +36,19 @@
 	vantage := options.Settings.vantage()
 	slots := &room.Slots{Layout: directory.NewLayout(vantage.Places), Places: vantage.Places, Owners: programs}
 	r := &rooms{vantage: vantage, service: knowledge.service}
+	seen := experience.NewBoards(experience.Options[room.Group]{
+		Members: r.keys, Busy: func(group room.Group) float64 { return r.keeper.Busy(group) },
+		OnChange: func(group room.Group, change experience.Change) {
+			options.Metrics.Experience.Noted(options.Logger, group, change)
+		},
+	})
 	r.keeper = room.NewKeeper(room.KeeperOptions{
-		Process: options.Process, Slots: slots, Members: r.members,
+		Process: options.Process, Slots: slots, Members: r.members, Experience: seen,
 		Count: options.Metrics.Room.Answered, Logger: options.Logger,
 	})
 	r.reporter = room.NewReporter(room.ReporterOptions{
 		Self: options.self(), Zone: vantage.Zone, Slots: slots, Peers: peers.asker, Workers: r,
-		Patience: peers.asker.patience, Keeper: r.keeper,
+		Patience: peers.asker.patience, Keeper: r.keeper, Learner: r,
 		Count: options.Metrics.Room.Found, Told: options.Metrics.Room.Told, Logger: options.Logger,
 	})
 	options.Metrics.Room.Watch(r.keeper.Kept)
@@ -51,6 +58,25 @@
 	return r
 }
 
+// TakeSamples implements room.Learner.
+func (r *rooms) TakeSamples(service string) []experience.Sample {
+	return r.workers.TakeSamples(service)
+}
+
+// NoteVerdicts implements room.Learner.
+func (r *rooms) NoteVerdicts(verdicts []experience.Verdict) { r.workers.NoteVerdicts(verdicts) }
+
+// keys lists the workers of a group that may get requests, in order.
+func (r *rooms) keys(group room.Group) []string {
+	members, _ := r.members(group)
+	keys := make([]string, 0, len(members))
+	for _, member := range members {
+		keys = append(keys, member.Worker)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // attach sets where the workers are known from.
 func (r *rooms) attach(s *Server) {
 	if r != nil {
