worker: log what a stopping owner tells each request

TestEngineIsAskedForWhatTheOwnerLost (KNOWN-RED) fails now and then; the log could not tell whether the request waited, ran or had just ended when its owner said that it did not run. The line says so: ran, and whether the core had already taken the call's end in.

--- a/internal/worker/owner.go
+++ b/internal/worker/owner.go
@@ -221,6 +221,9 @@
 		if _, started := o.core.running[request]; started {
 			ran = fault.RanUnknown
 		}
+		_, finished := o.core.ended[request]
+		o.log.WithField("request", string(request)).WithField("ran", string(ran)).WithField("finished", finished).
+			Info("owner stopped; stream ended")
 		open.end(nil, fault.New(fault.Unavailable, "the worker's owner stopped", "ask the worker's next owner").WithRan(ran))
 	}
 }
