worker: a stopping owner answers only what it knows of its calls

Callers saw: 'not run' for a call that its engine was running or had finished, when the worker's owner stopped or ownership moved just as the last call ended. Such a call may be sent again and runs twice; a ready answer was lost.

Cause: failAll took a call for never sent when it was absent from the map of running calls. Core.Finished takes a call out of it a moment before the call's stream ends, so absence also means that it has run.

Fix: the owner gives the worker up first (refuses what waits, takes in and starts nothing more), then ends the streams of running calls as unknown; a call whose end was taken in is answered by finish.

--- a/internal/worker/execute.go
+++ b/internal/worker/execute.go
@@ -153,12 +153,17 @@
 		o.lostEpoch()
 	}
 	o.reportEnd(action, outcome, err)
+	o.answer(open, outcome, err)
+}
+
+// answer ends the stream of a call that was sent to the engine.
+func (o *owner) answer(open *stream, outcome engine.Outcome, err error) {
 	if err == nil {
 		open.end(&outcome, nil)
 		o.service.metrics.observe(outcome)
 		return
 	}
-	o.log.WithField("request", string(action.Request)).WithError(err).Warn("call failed")
+	o.log.WithField("request", string(open.request)).WithError(err).Warn("call failed")
 	open.end(nil, err)
 }
 
--- a/internal/worker/fixture_test.go
+++ b/internal/worker/fixture_test.go
@@ -258,11 +258,13 @@
 // newFixture starts nodes over fake engines.
 func newFixture(t *testing.T, nodes, workers, zones int) *fixture {
 	f := prepareFixture(t, nodes, workers, zones)
-	f.dial = func(machine outside.Machine) engine.Client { return f.engines[machine.ID] }
+	f.dial = f.dialFake
 	f.start()
 	return f
 }
 
+func (f *fixture) dialFake(machine outside.Machine) engine.Client { return f.engines[machine.ID] }
+
 // prepareFixture makes nodes and workers, one of each a zone in turn.
 func prepareFixture(t *testing.T, nodes, workers, zones int) *fixture {
 	f := &fixture{
--- a/internal/worker/owner.go
+++ b/internal/worker/owner.go
@@ -212,18 +212,15 @@
 	o.do(run(time.Now(), o.core))
 }
 
-// failAll ends all streams when the owner stops.
+// failAll refuses what waits and ends the streams of the calls that run when the owner stops. A
+// call whose end the Core has taken in is left out: finish answers it.
 func (o *owner) failAll() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	for request, open := range o.streams {
-		ran := fault.RanNo
-		if _, started := o.core.running[request]; started {
-			ran = fault.RanUnknown
-		}
-		_, finished := o.core.ended[request]
-		o.log.WithField("request", string(request)).WithField("ran", string(ran)).WithField("finished", finished).
-			Info("owner stopped; stream ended")
-		open.end(nil, fault.New(fault.Unavailable, "the worker's owner stopped", "ask the worker's next owner").WithRan(ran))
+	o.giveUp("its node stopped owning it")
+	for request := range o.core.running {
+		o.log.WithField("request", string(request)).WithField("ran", string(fault.RanUnknown)).
+			Info("owner stopped; stream of a running call ended")
+		o.streams[request].end(nil, fault.New(fault.Unavailable, "the worker's owner stopped", "ask the worker's next owner").WithRan(fault.RanUnknown))
 	}
 }
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -150,6 +150,9 @@
 		if ok && owned.update(machine) {
 			continue
 		}
+		if s.ctx.Err() != nil {
+			return // the owners of a stopped service still answer what became of their calls
+		}
 		if owned.retire() {
 			delete(s.owners, worker)
 		}
