directory: read the slots again when one that is asked for is vacant

Callers saw: 429 for a tenant below its limit, for up to 30 s, when its requests enter through one region.

Cause: the shares of a limit lie in slots of several regions. A node whose own region's slots are all claimed polls the slots every 10 to 30 s; a slot of another region that was vacant at the last read was taken for unavailable until then, since only an owner that does not answer makes a node read again. So at the start of regions side by side, and whenever a node reads between a planned stop's release and the next claim.

Fix: Owner of a vacant slot requests a read, at most once a second.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -253,12 +253,16 @@
 }
 
 // Owner returns the process that owns the slot, according to this node's view. It returns false
-// if the slot is vacant or its owner failed to answer within the last ownerRetryDelay.
+// if the slot is vacant or its owner failed to answer within the last ownerRetryDelay. A view in
+// which a slot that is asked for is vacant is refreshed: the slot may have been claimed since.
 func (d *Directory) Owner(slot int) (budget.Holder, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	known := d.owners[slot]
 	if known.Process == "" {
+		if time.Since(d.lastRead) >= vacantRefreshInterval {
+			d.RequestRefresh()
+		}
 		return budget.Holder{}, false
 	}
 	suspected, ok := d.suspicions[slot]
--- a/internal/directory/regions_test.go
+++ b/internal/directory/regions_test.go
@@ -95,6 +95,41 @@
 	})
 }
 
+// Guards against a node that takes a slot of another region for vacant until its next poll, because it
+// read the slots after the owner had left and before a successor had claimed them.
+func TestVacantSlotOfOtherRegionIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRegionalCluster(6)
+		defer c.stop()
+		time.Sleep(15 * time.Second)
+		observer, slot := c.node(0), c.node(0).layout.SlotIn("b", 7)
+		for _, index := range []int{1, 4} { // all nodes of the slot's region
+			c.node(index).Leave(t.Context())
+			c.kill(address(index))
+		}
+		observer.RequestRefresh()
+		time.Sleep(time.Second)
+		_, known := observer.Owner(slot)
+		require.False(t, known)
+		reads := c.table.Watches()
+		for range 100 {
+			observer.Owner(slot)
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.LessOrEqual(t, c.table.Watches()-reads, 4, "requests for a vacant slot read the store once a second, besides polls")
+		successor := c.start(address(1))
+		for !successor.owns(slot) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		observer.Owner(slot)
+		time.Sleep(vacantRefreshInterval)
+		observer.Owner(slot)
+		time.Sleep(2 * minRefreshInterval)
+		_, known = observer.Owner(slot)
+		require.True(t, known, "the slot was claimed again")
+	})
+}
+
 // A partitioned region must keep its slots and take none of the others, and the end of the partition
 // must not make all nodes read the store at once.
 func TestPartitionedRegionKeepsItsSlots(t *testing.T) {
--- a/internal/directory/slots.go
+++ b/internal/directory/slots.go
@@ -37,6 +37,9 @@
 	retryDelay = 2 * time.Second
 	// minRefreshInterval is the minimum interval between reads of the slots.
 	minRefreshInterval = 200 * time.Millisecond
+	// vacantRefreshInterval is the minimum age of the view at which a request for the owner of a
+	// vacant slot refreshes it. A slot stays vacant for long only while its region has no nodes.
+	vacantRefreshInterval = time.Second
 	// ownerRetryDelay is how long an owner that did not answer is skipped.
 	ownerRetryDelay = 500 * time.Millisecond
 	// takeoverDelay is how long an owner must have been unresponsive before its slot is taken
