server: a stopping node serves until its last earlier request has ended

Callers saw: connections to a node that stops by plan refused for 2 to 5 s while it still ran, longer the busier the table.

Cause: after the 2.5 s of unreadiness, Shutdown closed the listener and only then waited for turns in progress.

Fix: wait first, close last; meanwhile turns are refused at once as not run, plain requests that end before the cut-off are served. TestStoppingNodeServesUntilItsLastTurnEnds fails before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -65,6 +65,8 @@
 type Forwarder struct {
 	options       Options
 	configuration atomic.Pointer[route.Configuration]
+	cutOff        atomic.Pointer[time.Time] // end of a planned stop; nil: the node is not closing
+	beforeClosing atomic.Int64              // requests in progress that began while cutOff was nil
 }
 
 // New returns a forwarder without a configuration. It refuses requests until SetConfiguration is
@@ -150,6 +152,7 @@
 
 // Serve answers a request through out, exactly once. ctx must end when the client disconnects.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, out Responder) {
+	defer f.track()()
 	x := &exchange{Forwarder: f, request: request, out: out, startTime: time.Now(), clientCtx: ctx, lastEventID: request.LastEventID}
 	refusal := x.serve(ctx)
 	x.releaseSlot()
@@ -177,6 +180,9 @@
 	if limit <= 0 {
 		return fault.New(fault.DeadlinePassed, "the request's deadline has passed", "send a longer deadline")
 	}
+	if refusal := x.checkClosing(limit); refusal != nil {
+		return refusal
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	x.clock.enter(stepAdmit, x.startTime)
