store: a probe that the table throttles opens the gate

Callers would see: turns refused after waiting 0.9 s though the table answers, while it throttles the probes of many nodes after an outage.

Cause: a throttled call counts as a sign that the table responds, a throttled probe did not, and while the gate is closed there are only probes. TestThrottlingDoesNotCloseTheGate caused this and asserted nothing; with the assertion it failed: the call at the closed gate ended by its deadline.

Fix: a throttled probe opens the gate; calls then back off by themselves.

--- a/internal/store/probe.go
+++ b/internal/store/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -31,9 +32,9 @@
 	sent     int // since the gate closed
 }
 
-// probe starts a read, if one is due, that opens the gate if it succeeds. An ErrThrottled does
-// not open it. probe does not wait for the result. The
-// read has its own timeout, since callers may have less time left than a response takes.
+// probe starts a read, if one is due, that opens the gate if the table responds, be it with
+// ErrThrottled. probe does not wait for the result. The read has its own timeout, since callers may
+// have less time left than a response takes.
 func (g *Gate) probe(key Key) {
 	if !g.beginProbe() {
 		return
@@ -49,7 +50,7 @@
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
 		g.probes.inFlight--
-		if err == nil {
+		if err == nil || errors.Is(err, ErrThrottled) {
 			g.open("probe")
 		}
 	}()
--- a/internal/store/throttle_test.go
+++ b/internal/store/throttle_test.go
@@ -72,8 +72,8 @@
 	})
 }
 
-// Throttled calls must not close the gate or a part. The last call, at a closed gate, is not
-// checked.
+// Guards against a gate or a part that throttled calls close, and against a closed gate that stays
+// closed while the table answers its probes by throttling them: callers would wait until they time out.
 func TestThrottlingDoesNotCloseTheGate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := storetest.New()
@@ -101,7 +101,8 @@
 		require.True(t, gate.Suspect())
 		fault = storetest.Throttled
 		time.Sleep(2 * time.Second)
-		_ = call(11)
+		require.ErrorIs(t, call(11), store.ErrThrottled, "the call reaches the table")
+		require.False(t, gate.Suspect())
 	})
 }
 
