budget: a caller that leaves says nothing about the store

Callers would see: after two disconnected clients in a row, turns of other programs take the store for unavailable for a second, ask all recent peers and use up grants that are meant for outages.

Cause: recordShareResult counted the error of a canceled context as a call that the store left unanswered. TestCanceledCallersDoNotMakeTheStoreUnavailable failed before.

--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -116,7 +116,7 @@
 		limited, cancel := context.WithTimeout(ctx, store.HedgeDelayAtLeast(a.options.Store, shareTimeout))
 		err := a.drawFromShare(limited, account, index, claim, sources)
 		cancel()
-		a.recordShareResult(err)
+		a.recordShareResult(ctx, err)
 		if err != nil {
 			failure = err
 			a.requestFromLocated(ctx, account, tokens, sources)
--- a/internal/budget/owned.go
+++ b/internal/budget/owned.go
@@ -175,15 +175,17 @@
 	return a.options.Granter != nil && ownedPart(claim.Budget) > 0 && !sources.ownerAnswered
 }
 
-// recordShareResult records whether a call for a share was answered. Throttling counts as
-// an answer.
-func (a *Accounts) recordShareResult(err error) {
-	if err == nil || errors.Is(err, store.ErrThrottled) {
+// recordShareResult records whether a call for a share was answered. Throttling counts as an
+// answer; a call that ended because the caller left counts as neither.
+func (a *Accounts) recordShareResult(ctx context.Context, err error) {
+	switch {
+	case err == nil || errors.Is(err, store.ErrThrottled):
 		a.shareFailures.Store(0)
-		return
+	case errors.Is(ctx.Err(), context.Canceled):
+	default:
+		a.shareFailures.Add(1)
+		a.lastShareFailure.Store(time.Now().UnixNano())
 	}
-	a.shareFailures.Add(1)
-	a.lastShareFailure.Store(time.Now().UnixNano())
 }
 
 // suspectReporter is a store that reports whether its recent calls failed.
--- a/internal/budget/throttle_test.go
+++ b/internal/budget/throttle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -45,3 +46,26 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestCanceledCallersDoNotMakeTheStoreUnavailable guards against counting a caller's own end as a call
+// that the store left unanswered: the next turns would then use up grants while the store works.
+func TestCanceledCallersDoNotMakeTheStoreUnavailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := storetest.New()
+		table.SetFault(func(string, bool) storetest.Fault { return storetest.RequestLost })
+		accounts := newTestAccounts(table, "a")
+		for index := range 2 * unavailableFailures {
+			caller, leave := context.WithCancel(t.Context())
+			time.AfterFunc(10*time.Millisecond, leave)
+			_, err := accounts.Reserve(caller, Claim{Program: fmt.Sprint("p", index), Budget: 1000, Tokens: 100, MustPersist: true})
+			require.Error(t, err)
+		}
+		require.False(t, accounts.storeUnavailable(), "callers that left after 10 ms say nothing about the store")
+		limited, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := accounts.Reserve(limited, Claim{Program: "patient", Budget: 1000, Tokens: 100, MustPersist: true})
+		require.Error(t, err)
+		require.True(t, accounts.storeUnavailable(), "a caller that waited does")
+		time.Sleep(time.Minute)
+	})
+}
