eventlog: a flush at the end of the process waits for that of Run

Operators would see: last lines of a stopping process doubled, garbled or lost, since main flushes while Run still does. No log lines of a real process were seen to be wrong.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -20,12 +20,15 @@
 
 // Writer is a buffered io.Writer for whole lines. Its Write is safe for concurrent use.
 type Writer struct {
-	output   io.Writer
-	mutex    sync.Mutex
-	buffer   []byte
-	flushing []byte
-	dropped  int
-	wake     chan struct{}
+	output io.Writer
+	wake   chan struct{}
+
+	flush    sync.Mutex // held during a flush
+	flushing []byte     // lines being written; guarded by flush
+
+	mutex   sync.Mutex // guards the fields below
+	buffer  []byte
+	dropped int
 }
 
 // New returns a Writer to output. Lines are written only by Run or Flush.
@@ -69,8 +72,11 @@
 }
 
 // Flush writes all buffered lines, and the number of dropped ones if any. Errors of the output are
-// ignored, and its lines are lost. Flush must not be called concurrently with itself or Run.
+// ignored, and its lines are lost. Flush is safe for concurrent use; at the end of a process it may
+// run beside Run.
 func (w *Writer) Flush() {
+	w.flush.Lock()
+	defer w.flush.Unlock()
 	w.mutex.Lock()
 	w.buffer, w.flushing = w.flushing[:0], w.buffer
 	dropped := w.dropped
