capacity: reports of a group that was idle count

Callers would see: requests placed on full workers for a moment after a pause, then declined and moved. A node removes the state of an idle group and counted its reports from 1 again; the coordinator remembers the higher sequence for up to 2 s and discards them, so the node's running requests are missing. It happens to brief requests before the coordinator is settled, each time a group's traffic begins anew.

--- a/internal/capacity/client.go
+++ b/internal/capacity/client.go
@@ -94,6 +94,7 @@
 
 	mutex    sync.Mutex
 	groups   map[Group]*groupState
+	sequence uint64 // highest sequence of the reports of groups that were removed
 	suspects suspects
 }
 
@@ -162,6 +163,7 @@
 	state, ok := c.groups[group]
 	if !ok && len(c.groups) < maxGroups {
 		state = &groupState{NodeLoad: NewNodeLoad(group)}
+		state.sequence = c.sequence
 		c.groups[group] = state
 	}
 	return state
@@ -192,6 +194,7 @@
 	next = reportTick
 	for group, state := range c.groups {
 		if state.Idle(now) {
+			c.sequence = max(c.sequence, state.sequence) // coordinators discard reports of lower sequences
 			delete(c.groups, group)
 			continue
 		}
--- a/internal/capacity/cluster_test.go
+++ b/internal/capacity/cluster_test.go
@@ -257,6 +257,25 @@
 	})
 }
 
+// Guards against reports that the coordinator discards as outdated, because the node counts them anew after
+// its state of an idle group was removed.
+func TestReportsCountAfterGroupWasIdle(t *testing.T) {
+	runCluster(t, 3, 4, func(t *testing.T, c *testCluster) {
+		reporting := c.nodes[2]
+		for range 3 { // brief requests, before the coordinator is settled and reports a utilization
+			reporting.client.Begin("s", c.workers[0], 0).Release()
+			time.Sleep(settleTime / 5)
+		}
+		require.NotContains(t, reporting.client.groups, testGroup, "the state of the idle group is removed")
+		for range testConcurrency {
+			reporting.client.Begin("s", c.workers[0], 0)
+		}
+		time.Sleep(10 * time.Millisecond)
+		scheduler := c.nodes[c.coordinatorIndex()].coordinator.schedulers[testGroup]
+		require.Equal(t, testConcurrency, scheduler.load.loads[c.workers[0]].requests)
+	})
+}
+
 // coordinatorFailure is a failure of the coordinator.
 type coordinatorFailure struct {
 	start      func(c *testCluster, coordinator int)
