directory: a grant reads the slots again when its slot is vacant

Callers would see: 503 to a program that needs a grant of its budget, for up to 30 s, when the node read the slots while the program's slot, which may lie in another region, was vacant.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -260,15 +260,21 @@
 	defer d.mutex.Unlock()
 	known := d.owners[slot]
 	if known.Process == "" {
-		if time.Since(d.lastRead) >= vacantRefreshInterval {
-			d.RequestRefresh()
-		}
+		d.refreshVacant()
 		return budget.Holder{}, false
 	}
 	suspected, ok := d.suspicions[slot]
 	return known.Holder, !ok || suspected.process != known.Process || time.Since(suspected.lastFailure) >= ownerRetryDelay
 }
 
+// refreshVacant requests a refresh because a slot that is vacant in this node's view is needed, unless
+// the view is recent. The caller holds the mutex.
+func (d *Directory) refreshVacant() {
+	if time.Since(d.lastRead) >= vacantRefreshInterval {
+		d.RequestRefresh()
+	}
+}
+
 // record records a turn of a program and returns the entry as it was before.
 func (d *Directory) record(request Request) Answer {
 	d.mutex.Lock()
--- a/internal/directory/grant.go
+++ b/internal/directory/grant.go
@@ -125,6 +125,9 @@
 	slot := d.grantSlotOf(program)
 	d.mutex.Lock()
 	asked := d.owners[slot].Holder // suspected owners too: a retry may have to collect an earlier grant
+	if asked.Process == "" {
+		d.refreshVacant()
+	}
 	d.mutex.Unlock()
 	if asked.Process == "" {
 		return budget.Grant{}, false
--- a/internal/directory/regions_test.go
+++ b/internal/directory/regions_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -103,10 +104,7 @@
 		defer c.stop()
 		time.Sleep(15 * time.Second)
 		observer, slot := c.node(0), c.node(0).layout.SlotIn("b", 7)
-		for _, index := range []int{1, 4} { // all nodes of the slot's region
-			c.node(index).Leave(t.Context())
-			c.kill(address(index))
-		}
+		c.releaseRegion("b")
 		observer.RequestRefresh()
 		time.Sleep(time.Second)
 		_, known := observer.Owner(slot)
@@ -130,6 +128,42 @@
 	})
 }
 
+// Guards against grants that fail until the next poll because the node read the slots while that of the
+// program, which may lie in another region, was vacant.
+func TestGrantReadsVacantSlotAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRegionalCluster(6)
+		defer c.stop()
+		time.Sleep(15 * time.Second)
+		observer, program := c.node(0), ""
+		for index := 0; observer.layout.RegionOf(observer.grantSlotOf(program)) != "b"; index++ {
+			program = programOf(index)
+		}
+		c.releaseRegion("b")
+		observer.RequestRefresh()
+		time.Sleep(time.Second)
+		successor := c.start(address(1))
+		for !successor.owns(observer.grantSlotOf(program)) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		observer.Grant(t.Context(), program, 100, 1)
+		time.Sleep(vacantRefreshInterval) // the view must be this old
+		observer.Grant(t.Context(), program, 100, 1)
+		time.Sleep(2 * minRefreshInterval)
+		require.Equal(t, successor.options.Self.Process, observer.slotOwner(observer.grantSlotOf(program)).Process)
+	})
+}
+
+// releaseRegion stops all nodes of a region by plan.
+func (c *cluster) releaseRegion(region string) {
+	for index := range len(c.zones) {
+		if c.zoneMap.Region(c.zones[address(index)]) == region {
+			c.node(index).Leave(context.Background())
+			c.kill(address(index))
+		}
+	}
+}
+
 // A partitioned region must keep its slots and take none of the others, and the end of the partition
 // must not make all nodes read the store at once.
 func TestPartitionedRegionKeepsItsSlots(t *testing.T) {
