--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -142,6 +142,21 @@
 	require.False(t, other.Admitted)
 }
 
+// A refused program must stay recorded until as many others as are kept have been refused, also if it was
+// admitted in between.
+func TestRefusedProgramIsNotEvictedEarly(t *testing.T) {
+	refused, now := refusedPrograms{returnAt: map[uint64]time.Time{}}, time.Unix(1000, 0)
+	refused.add(1, now)
+	refused.remove(1)
+	refused.add(1, now)
+	for key := range uint64(maxRefused - 1) {
+		refused.add(100+key, now)
+	}
+	require.True(t, refused.isDue(1, now))
+	refused.add(2, now)
+	require.False(t, refused.isDue(1, now), "the program refused first is evicted")
+}
+
 // Turns that are still queueing must count as load, although their first event has not arrived.
 func TestControllerCountsPendingTurns(t *testing.T) {
 	controller, now := NewController(nil), time.Unix(1000, 0)
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -71,7 +72,7 @@
 	verdict := Decide(request, load)
 	if verdict.Admitted {
 		w.bucketAt(now).admitted++
-		delete(c.refused.returnAt, key)
+		c.refused.remove(key)
 	} else {
 		c.refused.add(key, now.Add(verdict.RetryAfter))
 	}
@@ -133,7 +134,7 @@
 // maxRefused entries the program refused first is evicted.
 type refusedPrograms struct {
 	returnAt map[uint64]time.Time
-	order    []uint64
+	order    []uint64 // the keys of returnAt, in the order in which they were added
 }
 
 // add records that a program is to retry at a given time.
@@ -148,6 +149,15 @@
 	}
 }
 
+// remove removes a program, if it is recorded.
+func (r *refusedPrograms) remove(key uint64) {
+	if _, known := r.returnAt[key]; !known {
+		return
+	}
+	delete(r.returnAt, key)
+	r.order = slices.DeleteFunc(r.order, func(other uint64) bool { return other == key })
+}
+
 // isDue reports whether a program's retry time has come and is less than returnWindow ago.
 func (r *refusedPrograms) isDue(key uint64, now time.Time) bool {
 	at, known := r.returnAt[key]
