--- a/internal/forward/closing.go
+++ b/internal/forward/closing.go
@@ -16,8 +16,8 @@
 // RequestsBeforeClosing returns the number of requests in progress that began before BeginClosing.
 func (f *Forwarder) RequestsBeforeClosing() int64 { return f.beforeClosing.Load() }
 
-// track counts a request for RequestsBeforeClosing until done is called.
-func (f *Forwarder) track() (done func()) {
+// countBeforeClosing counts a request that begins now for RequestsBeforeClosing, until done is called.
+func (f *Forwarder) countBeforeClosing() (done func()) {
 	if f.cutOff.Load() != nil {
 		return func() {}
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -152,7 +152,8 @@
 
 // Serve answers a request through out, exactly once. ctx must end when the client disconnects.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, out Responder) {
-	defer f.track()()
+	done := f.countBeforeClosing()
+	defer done()
 	x := &exchange{Forwarder: f, request: request, out: out, startTime: time.Now(), clientCtx: ctx, lastEventID: request.LastEventID}
 	refusal := x.serve(ctx)
 	x.releaseSlot()
