--- a/internal/capacity/cluster_test.go
+++ b/internal/capacity/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -92,22 +93,30 @@
 	})
 }
 
+// tracks reports whether the client has state of a group.
+func (c *Client) tracks(group Group) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	_, ok := c.groups[group]
+	return ok
+}
+
 // Guards against reports that the coordinator discards as outdated, because the node counts them anew after
 // its state of an idle group was removed.
 func TestReportsCountAfterGroupWasIdle(t *testing.T) {
 	runCluster(t, 3, 4, func(t *testing.T, c *testCluster) {
 		reporting := c.nodes[2]
-		for range 3 { // brief requests, before the coordinator is settled and reports a utilization
-			reporting.client.Begin("s", c.workers[0], 0).Release()
-			time.Sleep(settleTime / 5)
-		}
-		require.NotContains(t, reporting.client.groups, testGroup, "the state of the idle group is removed")
-		for range testConcurrency {
-			reporting.client.Begin("s", c.workers[0], 0)
-		}
+		brief := reporting.client.Begin("s", c.workers[0], 0)
+		synctest.Wait() // the begin is reported before the end
+		brief.Release()
+		time.Sleep(reportDelayNormal + reportTick + 10*time.Millisecond) // less than settleTime, so no utilization is known
+		require.False(t, reporting.client.tracks(testGroup), "the state of the idle group is removed")
+		reporting.client.Begin("s", c.workers[0], 0)
 		time.Sleep(10 * time.Millisecond)
-		scheduler := c.nodes[c.coordinatorIndex()].coordinator.schedulers[testGroup]
-		require.Equal(t, testConcurrency, scheduler.load.loads[c.workers[0]].requests)
+		coordinator := c.nodes[c.coordinatorIndex()].coordinator
+		coordinator.mutex.Lock()
+		defer coordinator.mutex.Unlock()
+		require.Equal(t, 1, coordinator.schedulers[testGroup].load.loads[c.workers[0]].requests)
 	})
 }
 
