--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -16,8 +16,11 @@
 	Service   string
 	Address   string // IP:PORT
 	Zone      string
-	Slots     int
-	Draining  bool
+	// SoftwareVersion is the build that the worker runs; not the version of its weights. Versions have
+	// no order.
+	SoftwareVersion string
+	Slots           int
+	Draining        bool
 	// ColdRemaining is the remaining cold start, during which the worker can take little load, as of
 	// the worker's last report.
 	ColdRemaining time.Duration
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -138,6 +138,8 @@
 	lastWorker       string                    // key of the worker last sent to
 	crossRegion      backend.CrossRegionReason // why that worker is in another region; empty: it is not
 	events           int                       // number of events relayed
+	relayedBy        string                    // key of the worker of the last of them; empty: none
+	relayedVersion   string                    // software version of that worker
 	budgetDrawn      bool                      // this node had to draw tokens for the turn
 	budgetHandedOver bool                      // another node handed tokens over
 	budgetLocated    bool                      // the directory named the nodes to ask for tokens
@@ -326,6 +328,7 @@
 		call.TimeLeft = time.Until(deadline)
 	}
 	x.logResend(worker, call.TimeLeft)
+	x.logContinued(worker)
 	return x.options.Transport.Send(ctx, worker, call)
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -30,6 +30,9 @@
 	// route allows.
 	AttemptsDropped *prometheus.CounterVec
 	ExcessAttempts  prometheus.Counter
+	// ContinuedStreams counts sends of streams that go on after an event, by which answer has the
+	// earlier events.
+	ContinuedStreams *prometheus.CounterVec
 	// Admissions counts turns of programs with a deadline, by the reason why they were admitted
 	// or refused.
 	Admissions *prometheus.CounterVec
@@ -58,7 +61,8 @@
 	m.steps = newStepSeconds(registry, buckets)
 	m.ExcessAttempts = counter("requests_beyond_attempts_total", "Requests that may have run at more workers than their route allows, those included that have ended.")
 	m.Admissions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "program_admissions_total", Help: "Turns of programs with a time by why they were let in (under_way, room, in_time, promised, untimed) or refused (too_late, crowded, leaves)."}, []string{"reason"})
-	registry.MustRegister(m.Admissions, m.Requests, m.Duration, m.FirstEvent, m.SendsByDistance, m.BlockedSends, m.AttemptsDropped)
+	m.ContinuedStreams = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "streams_continued_total", Help: "Sends of streams that go on after an event, by whether this answer has the earlier events (answer) or the client's earlier requests (request)."}, []string{"since"})
+	registry.MustRegister(m.ContinuedStreams, m.Admissions, m.Requests, m.Duration, m.FirstEvent, m.SendsByDistance, m.BlockedSends, m.AttemptsDropped)
 	return m
 }
 
@@ -106,6 +110,10 @@
 	}
 	if x.events > 0 {
 		fields["events"] = x.events
+		fields["version"] = x.relayedVersion
+	}
+	if x.request.LastEventID != "" {
+		fields["resumes"], fields["last_event"] = x.request.Resumes, x.request.LastEventID
 	}
 	if x.budgetDrawn {
 		fields["drawn"] = true
--- /dev/null
+++ b/internal/forward/resume_test.go
@@ -0,0 +1,44 @@
+package forward
+
+import (
+	"context"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/route"
+)
+
+// continuedLines returns the log lines of sends that go on with a stream.
+func continuedLines(handler *memory.Handler) (lines []log.Fields) {
+	for _, entry := range handler.Entries {
+		if entry.Fields.Get("last_event") != nil && entry.Message != "request" {
+			lines = append(lines, entry.Fields)
+		}
+	}
+	return lines
+}
+
+// TestContinuedStreamIsLoggedWithVersions guards against streams that go on at another worker without a line that names
+// both workers and their software versions.
+func TestContinuedStreamIsLoggedWithVersions(t *testing.T) {
+	f := newFixture(t, route.Route{Host: "h", PathPrefix: "/p/", Kind: route.Streaming, Resumable: true, MaxAttempts: 2, Targets: []route.Target{{Service: "s", Weight: 1}}})
+	handler := memory.New()
+	f.forwarder.options.Logger = &log.Logger{Handler: handler, Level: log.InfoLevel}
+	f.worker("w1", streams(3, 1))
+	f.worker("w2", streams(3, 1))
+	f.serve(context.Background(), nil)
+	lines := continuedLines(handler)
+	require.NotEmpty(t, lines)
+	require.Equal(t, sinceSameAnswer, lines[0].Get("since"))
+	require.Contains(t, []string{"w1", "w2"}, lines[0].Get("relayed_by"))
+
+	handler.Entries = nil
+	f.serve(context.Background(), func(r *Request) { r.LastEventID, r.Resumes = "1", "r0" })
+	lines = continuedLines(handler)
+	require.NotEmpty(t, lines)
+	require.Equal(t, sinceEarlierTries, lines[0].Get("since"))
+	require.Equal(t, "r0", lines[0].Get("resumes"))
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -162,6 +162,7 @@
 		receivedAt := time.Now()
 		x.clock.enter(stepStream, receivedAt)
 		watcher.relaying.Store(true)
+		x.recordRelayed(worker)
 		err = x.relayEvent(answer, event)
 		now := time.Now()
 		watcher.delivered(now)
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -131,6 +131,7 @@
 		"service":  record.Service,
 		"address":  record.Address,
 		"zone":     record.Zone,
+		"version":  record.SoftwareVersion,
 		"draining": record.Draining,
 		"cold_ms":  record.ColdRemaining.Milliseconds(),
 		"revision": record.Revision,
