--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 )
 
@@ -42,3 +44,28 @@
 	require.Equal(t, sinceEarlierTries, lines[0].Get("since"))
 	require.Equal(t, "r0", lines[0].Get("resumes"))
 }
+
+// workerOf adds a worker with a software version.
+func (f *fixture) workerOf(id, version string, does script) {
+	f.scripts[id] = does
+	f.workers.Put(backend.Record{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, SoftwareVersion: version})
+}
+
+// TestBrokenStreamGoesOnAtItsVersion guards against an answer with events of two software versions: after a worker broke, only
+// workers of its version may go on.
+func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	for request := range 20 {
+		f := newFixture(t, route.Route{Host: "h", PathPrefix: "/p/", Kind: route.Streaming, Resumable: true, MaxAttempts: 4, Targets: []route.Target{{Service: "s", Weight: 1}}})
+		f.workerOf("old-1", "v1", streams(3, 1))
+		f.workerOf("old-2", "v1", streams(3, 0))
+		f.workerOf("new-1", "v2", streams(3, 1))
+		f.workerOf("new-2", "v2", streams(3, 0))
+		got := f.serve(context.Background(), func(r *Request) { r.ID = fmt.Sprint("r", request) })
+		require.True(t, got.ended)
+		require.Equal(t, events(3), got.body.String())
+		sent := f.sent()
+		for _, later := range sent[1:] {
+			require.Equal(t, sent[0].worker[:3], later.worker[:3], "request %d: %v", request, sent)
+		}
+	}
+}
