Streams go on only at the software version that began them

Cause: the version of a worker's software was dropped when its entry was decoded, so no decision could tell two builds of a service apart. Within one answer, the next worker was chosen without regard to what had been relayed; over a client's tries, another node never heard of the first one.

- eligibility: a request may be bound to one software version.
Every choice of a worker passes this check: placement, trials, capacity, and the check before each send.
- forward: the first relayed event binds the answer to its worker's version.
A request that goes on with an earlier stream is bound to the version that began that, or refused at once (503, not run) if no node knows it or no worker of it is left.
- streamorigin: a node that relays a first event sends a record to two other nodes, chosen by the hash of the stream's ID, without delaying the event; the node that is asked next finds it there.
While a service has had one version, nothing is sent.
Versions in use are rows of the store, so that restarted nodes know them; when a second one is registered, nodes send the records of their latest streams.

--- a/internal/backend/accessors.go
+++ b/internal/backend/accessors.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/eligibility"
@@ -16,6 +17,21 @@
 // Service returns the worker's service.
 func (w *Worker) Service() string { return w.service }
 
+// SoftwareVersion returns the version of the worker's software.
+func (w *Worker) SoftwareVersion() string { return w.version }
+
+// Serves reports whether a service has a worker of an allowed software version that is not draining, among those that Workers
+// returns.
+func (r *Registry) Serves(service string, version eligibility.Version) bool {
+	return slices.ContainsFunc(r.Workers(service), func(worker *Worker) bool {
+		return version.Allow(worker.version) && !worker.Record().Draining
+	})
+}
+
+// SoftwareVersions returns the software versions of the workers of a service that Workers returns, each once. The
+// slice must not be changed.
+func (r *Registry) SoftwareVersions(service string) []string { return r.rosterOf(service).versions }
+
 // WorkersInZone returns the listed workers of a service that are in a zone.
 func (r *Registry) WorkersInZone(service, zone string) []*Worker {
 	r.mutex.Lock()
@@ -43,7 +59,9 @@
 
 // Available reports whether a worker may get any request that its region may serve: it is neither draining
 // nor cold, and its zone is not evacuated.
-func (r *Registry) Available(worker *Worker) bool { return r.Check(worker, nil) == eligibility.Allowed }
+func (r *Registry) Available(worker *Worker) bool {
+	return r.Check(worker, eligibility.Request{}) == eligibility.Allowed
+}
 
 // RoundTripTo returns the estimated round trip to a zone; 0 for the node's own zone.
 func (r *Registry) RoundTripTo(zone string) time.Duration { return r.roundTrips.RoundTrip(zone) }
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -27,6 +27,8 @@
 	PrefixWorkers []string
 	// Regions are the regions in which the request may be served.
 	Regions locality.Regions
+	// Version is the software version that may serve the request.
+	Version eligibility.Version
 	// Retryable means that the request can be retried at another worker if it fails.
 	Retryable bool
 	// FirstTurn means that the request is a program's first turn.
@@ -76,7 +78,7 @@
 	candidates := make([]placement.Candidate, 0, len(workers))
 	slowness := make([]float64, 0, len(workers))
 	for _, worker := range workers {
-		verdict := r.Check(worker, query.Regions)
+		verdict := r.Check(worker, query.request())
 		if verdict.Refused() || verdict == eligibility.NeedsWarmupPermit && query.WarmOnly {
 			continue
 		}
@@ -110,9 +112,14 @@
 	return nil, err
 }
 
-// Check decides whether a request that may be served in the given regions may be sent to a worker now.
-func (r *Registry) Check(worker *Worker, regions locality.Regions) eligibility.Verdict {
-	return eligibility.Check(eligibility.Request{Regions: regions}, r.eligibilityOf(worker))
+// request returns the properties of the request that decide which workers may get it.
+func (q Query) request() eligibility.Request {
+	return eligibility.Request{Regions: q.Regions, Version: q.Version}
+}
+
+// Check decides whether a request may be sent to a worker now.
+func (r *Registry) Check(worker *Worker, request eligibility.Request) eligibility.Verdict {
+	return eligibility.Check(request, r.eligibilityOf(worker))
 }
 
 // eligibilityOf returns the properties of a worker that decide whether requests may be sent to it.
@@ -120,9 +127,11 @@
 	// Must be read before cold: a zone's workers are marked cold before its evacuation ends, so a zone
 	// that has just reopened is not seen with warm workers.
 	evacuated := r.options.Evacuated(worker.zone)
+	record := worker.Record()
 	return eligibility.Worker{
 		Region:    r.options.Zones.Region(worker.zone),
-		Draining:  worker.Record().Draining,
+		Version:   record.SoftwareVersion,
+		Draining:  record.Draining,
 		Evacuated: evacuated,
 		Cold:      r.cold(worker),
 	}
@@ -134,7 +143,7 @@
 	if len(query.Only) > 0 {
 		return r.allowed(known, query)
 	}
-	known = r.withOpenZones(query.Regions, known)
+	known = r.withOpenZones(query.Regions, known).ofVersion(query.Version)
 	if query.WarmOnly {
 		known = known.filter(func(worker *Worker) bool { return !r.cold(worker) })
 	}
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -56,9 +56,9 @@
 }
 
 // sameProcess reports whether two entries with the same ID describe the same process. Without a
-// start time, address, service and zone decide.
+// start time, software version, address, service and zone decide.
 func (r Record) sameProcess(other Record) bool {
-	return r.StartedAt.Equal(other.StartedAt) && r.Address == other.Address && r.Service == other.Service && r.Zone == other.Zone
+	return r.SoftwareVersion == other.SoftwareVersion && r.StartedAt.Equal(other.StartedAt) && r.Address == other.Address && r.Service == other.Service && r.Zone == other.Zone
 }
 
 // precedes reports whether r's process started before that of other. It is false if a start time
--- a/internal/backend/region.go
+++ b/internal/backend/region.go
@@ -32,7 +32,7 @@
 	switch {
 	case query.Home == worker.key:
 		return distance, ReasonHome
-	case !slices.ContainsFunc(inRegion, func(w *Worker) bool { return !r.Check(w, query.Regions).Refused() }):
+	case !slices.ContainsFunc(inRegion, func(w *Worker) bool { return !r.Check(w, query.request()).Refused() }):
 		return distance, ReasonNone
 	case r.anyFree(inRegion, query):
 		return distance, ReasonFree
@@ -61,7 +61,7 @@
 func (r *Registry) anyFree(workers []*Worker, query Query) bool {
 	now := r.options.Now()
 	return slices.ContainsFunc(workers, func(w *Worker) bool {
-		return w.free(now) && !slices.Contains(query.Exclude, w.key) && r.Check(w, query.Regions) == eligibility.Allowed
+		return w.free(now) && !slices.Contains(query.Exclude, w.key) && r.Check(w, query.request()) == eligibility.Allowed
 	})
 }
 
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -100,7 +100,7 @@
 // newWorker returns a worker with no observations.
 func (r *Registry) newWorker(record Record, now time.Time) *Worker {
 	worker := &Worker{
-		registry: r, id: record.ID, key: record.Key(), service: record.Service, zone: record.Zone,
+		registry: r, id: record.ID, key: record.Key(), service: record.Service, zone: record.Zone, version: record.SoftwareVersion,
 		distance: r.location.DistanceTo(record.Zone), record: record,
 	}
 	worker.warmth.updateFromEntry(record, now)
--- a/internal/backend/roster.go
+++ b/internal/backend/roster.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/cloverwheel/cloverwheel/internal/eligibility"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 )
 
@@ -15,6 +16,7 @@
 	sameZone   int      // number of workers in the node's zone; they come first
 	sameRegion int      // number of workers in the node's region, those of its zone included
 	zones      []string // zones of the workers, and perhaps zones that have none any more
+	versions   []string // software versions of the workers, each once
 	// lingering reports that all workers were removed from the worker list less than lingerPeriod ago.
 	lingering bool
 }
@@ -35,7 +37,25 @@
 	from := func(w *Worker, distance locality.Distance) int { return cmp.Compare(w.distance, distance) }
 	sameZone, _ := slices.BinarySearchFunc(workers, locality.SameRegion, from)
 	sameRegion, _ := slices.BinarySearchFunc(workers, locality.OtherRegion, from)
-	return roster{workers: workers, sameZone: sameZone, sameRegion: sameRegion, zones: zones}
+	return roster{workers: workers, sameZone: sameZone, sameRegion: sameRegion, zones: zones, versions: versionsOf(workers)}
+}
+
+// versionsOf returns the software versions of workers, each once.
+func versionsOf(workers []*Worker) (versions []string) {
+	for _, worker := range workers {
+		if !slices.Contains(versions, worker.version) {
+			versions = append(versions, worker.version)
+		}
+	}
+	return versions
+}
+
+// ofVersion returns the roster of the workers whose software version may serve a request.
+func (r roster) ofVersion(version eligibility.Version) roster {
+	if !slices.ContainsFunc(r.versions, func(name string) bool { return !version.Allow(name) }) {
+		return r
+	}
+	return r.filter(func(worker *Worker) bool { return version.Allow(worker.version) })
 }
 
 // zonesOf returns zones with those of workers added. It does not change its argument.
--- a/internal/backend/verdicts.go
+++ b/internal/backend/verdicts.go
@@ -265,7 +265,7 @@
 		return (query.Retryable || trial.until.Sub(now) <= trialTTL-retryableOnlyPeriod) && worker.service == query.Service && worker.distance != locality.OtherRegion &&
 			(query.Home == "" || query.Home == worker.key) &&
 			!slices.Contains(query.Exclude, worker.key) &&
-			r.Check(worker, query.Regions) == eligibility.Allowed && worker.triable(now)
+			r.Check(worker, query.request()) == eligibility.Allowed && worker.triable(now)
 	})
 }
 
--- a/internal/backend/warmth_test.go
+++ b/internal/backend/warmth_test.go
@@ -32,9 +32,9 @@
 // Guards against overloading a cold worker, and against limiting it after its cold start.
 func TestWorkerIsColdUntilColdStartEnds(t *testing.T) {
 	registry, worker, advance := newColdRegistry(t, Record{Revision: 1, ColdRemaining: 2 * time.Second})
-	require.Equal(t, eligibility.NeedsWarmupPermit, registry.Check(worker, nil))
+	require.Equal(t, eligibility.NeedsWarmupPermit, registry.Check(worker, eligibility.Request{}))
 	advance(2 * time.Second)
-	require.Equal(t, eligibility.Allowed, registry.Check(worker, nil))
+	require.Equal(t, eligibility.Allowed, registry.Check(worker, eligibility.Request{}))
 }
 
 // Guards against ignoring a later entry that announces a cold start.
@@ -83,7 +83,7 @@
 		registry.ZoneReopened("z", 10)
 		return false
 	}
-	require.Equal(t, eligibility.NeedsWarmupPermit, registry.Check(worker, nil))
+	require.Equal(t, eligibility.NeedsWarmupPermit, registry.Check(worker, eligibility.Request{}))
 }
 
 // Guards against replacing a longer cold start by the default one.
@@ -146,9 +146,9 @@
 	registry, worker, advance := newColdRegistry(t, Record{Revision: 1})
 	advance(registry.warmthTTL + time.Millisecond)
 	require.True(t, registry.Warmth(worker).Expired)
-	require.Equal(t, eligibility.NeedsWarmupPermit, registry.Check(worker, nil))
+	require.Equal(t, eligibility.NeedsWarmupPermit, registry.Check(worker, eligibility.Request{}))
 	registry.ListConfirmed()
-	require.Equal(t, eligibility.Allowed, registry.Check(worker, nil), "the list was confirmed without changes")
+	require.Equal(t, eligibility.Allowed, registry.Check(worker, eligibility.Request{}), "the list was confirmed without changes")
 }
 
 // Guards against limiting a worker that has just reported that it is warm.
@@ -156,7 +156,7 @@
 	registry, worker, advance := newColdRegistry(t, Record{Revision: 1})
 	advance(registry.warmthTTL + time.Millisecond)
 	registry.ApplyHealth(worker, 0, registry.options.Now())
-	require.Equal(t, eligibility.Allowed, registry.Check(worker, nil))
+	require.Equal(t, eligibility.Allowed, registry.Check(worker, eligibility.Request{}))
 }
 
 // Guards against health checks for every request, or while the information is current.
--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -30,8 +30,8 @@
 	registry *Registry
 	// Taken from its first entry. An entry in which one of them differs describes another
 	// process.
-	id, key, service, zone string
-	distance               locality.Distance
+	id, key, service, zone, version string
+	distance                        locality.Distance
 
 	mutex               sync.Mutex
 	record              Record
--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -21,6 +21,9 @@
 	Evacuated
 	// OutsideRegions: the worker is in a region where the request must not be served.
 	OutsideRegions
+	// OtherVersion: the worker runs another software version than the one that began the request's
+	// stream. Versions write streams that do not fit together.
+	OtherVersion
 )
 
 // String returns the name of a verdict for log lines.
@@ -34,8 +37,10 @@
 		return "leaving"
 	case Evacuated:
 		return "evacuated"
-	default:
+	case OutsideRegions:
 		return "outside_regions"
+	default:
+		return "other_version"
 	}
 }
 
@@ -45,20 +50,37 @@
 // Request holds the properties of a request that are checked.
 type Request struct {
 	Regions locality.Regions // where it may be served; nil allows all regions
+	Version Version          // which software version may serve it
+}
+
+// Version restricts a request to workers of one software version. The zero value allows all versions.
+// Versions have no order, and a worker may not name its version, so the empty name is one of them.
+type Version struct {
+	Fixed bool // only workers of the version Name may serve the request
+	Name  string
 }
 
+// FixedVersion returns the restriction to one software version.
+func FixedVersion(name string) Version { return Version{Fixed: true, Name: name} }
+
+// Allow reports whether a worker of a software version may serve the request.
+func (v Version) Allow(name string) bool { return !v.Fixed || v.Name == name }
+
 // Worker holds the properties of a worker that are checked.
 type Worker struct {
 	Region    string
-	Draining  bool // the worker is draining
-	Evacuated bool // the worker's zone is being evacuated
-	Cold      bool // the worker is not known to be warm
+	Version   string // software version
+	Draining  bool   // the worker is draining
+	Evacuated bool   // the worker's zone is being evacuated
+	Cold      bool   // the worker is not known to be warm
 }
 
 // Check returns whether a request may be sent to a worker. If several restrictions apply it returns the
 // most permanent one, such as OutsideRegions rather than Evacuated.
 func Check(request Request, worker Worker) Verdict {
 	switch {
+	case !request.Version.Allow(worker.Version):
+		return OtherVersion
 	case !request.Regions.Allow(worker.Region):
 		return OutsideRegions
 	case worker.Evacuated:
--- a/internal/eligibility/eligibility_test.go
+++ b/internal/eligibility/eligibility_test.go
@@ -22,6 +22,10 @@
 		{"empty region list", Request{Regions: locality.Regions{}}, Worker{Region: "a"}, OutsideRegions},
 		{"evacuated zone, cold", Request{}, Worker{Evacuated: true, Cold: true}, Evacuated},
 		{"draining, cold", Request{}, Worker{Draining: true, Cold: true}, Draining},
+		{"its version", Request{Version: FixedVersion("v1")}, Worker{Version: "v1"}, Allowed},
+		{"other version, other region", Request{Version: FixedVersion("v1"), Regions: locality.Regions{"a"}}, Worker{Version: "v2", Region: "b"}, OtherVersion},
+		{"version without a name", Request{Version: FixedVersion("")}, Worker{Version: "v2"}, OtherVersion},
+		{"any version", Request{}, Worker{Version: "v2"}, Allowed},
 		{"cold", Request{}, Worker{Cold: true}, NeedsWarmupPermit},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/forward/capacity.go
+++ b/internal/forward/capacity.go
@@ -31,9 +31,9 @@
 
 // findCapacity reserves a slot for the request while capacity is short, and returns its worker;
 // nil: a worker must be chosen by local information. A request that is restricted to the workers in
-// only goes to them whatever their load.
+// only, or to those of some software versions of several, goes to them whatever their load.
 func (x *exchange) findCapacity(ctx context.Context, only []string) *backend.Worker {
-	if x.options.Capacity == nil || len(only) > 0 || x.homeAccepts() {
+	if x.options.Capacity == nil || len(only) > 0 || x.homeAccepts() || x.isBoundToVersion() {
 		return nil
 	}
 	longest := shareOfDeadline(ctx, capacityWaitShare, maxCapacityWait) - x.capacityWait
@@ -45,7 +45,7 @@
 		return nil
 	}
 	worker, ok := x.options.Workers.WorkerByKey(reservation.WorkerKey())
-	if !ok || x.options.Workers.Check(worker, x.allowedRegions()).Refused() {
+	if !ok || x.options.Workers.Check(worker, x.restrictions()).Refused() {
 		reservation.Release()
 		return nil
 	}
@@ -63,7 +63,7 @@
 		return false
 	}
 	worker, ok := x.options.Workers.WorkerByKey(x.home)
-	return ok && !worker.Avoided(time.Now()) && !x.options.Workers.Check(worker, x.allowedRegions()).Refused()
+	return ok && !worker.Avoided(time.Now()) && !x.options.Workers.Check(worker, x.restrictions()).Refused()
 }
 
 // capacityRequest describes the request for the capacity search, which may take as long as
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/capacity"
+	"github.com/cloverwheel/cloverwheel/internal/eligibility"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/route"
@@ -47,6 +48,9 @@
 	Finder WorkerFinder
 	// Capacity finds workers with free capacity; nil: workers are chosen by local information only.
 	Capacity Capacity
+	// Origins remembers which software version began each stream; nil: streams of earlier requests are continued only
+	// while the listed workers of their service all run one version.
+	Origins StreamOrigins
 	// Prober queries workers' health when there is no other information on whether they are warm;
 	// nil: they are not queried.
 	Prober Prober
@@ -138,7 +142,8 @@
 	lastWorker       string                    // key of the worker last sent to
 	crossRegion      backend.CrossRegionReason // why that worker is in another region; empty: it is not
 	events           int                       // number of events relayed
-	relayedBy        string                    // key of the worker of the last of them; empty: none
+	version          eligibility.Version       // software version that may serve the request
+	relayedBy        string                    // key of the worker whose event was relayed last; empty: none was
 	relayedVersion   string                    // software version of that worker
 	budgetDrawn      bool                      // this node had to draw tokens for the turn
 	budgetHandedOver bool                      // another node handed tokens over
@@ -238,6 +243,9 @@
 		if refusal := x.checkServiceOpen(x.service, only); refusal != nil {
 			return nil, refusal
 		}
+		if refusal := x.checkVersionServed(); refusal != nil {
+			return nil, refusal
+		}
 		left := maxWait - time.Since(x.startTime)
 		hopeless := x.declines == 0 && x.coldRetryAfter > left // no warm worker can become available, and no cold one in time
 		if ctx.Err() != nil || left <= 0 || hopeless {
@@ -262,6 +270,7 @@
 		PrefixWorkers: x.prefixWorkers,
 		Output:        x.request.MaxOutputTokens,
 		Regions:       x.allowedRegions(),
+		Version:       x.version,
 		Retryable:     x.mayMove(""),
 		FirstTurn:     x.isFirstTurn(),
 		WarmOnly:      x.coldAttempts >= maxColdAttempts,
--- a/internal/forward/presend.go
+++ b/internal/forward/presend.go
@@ -62,7 +62,7 @@
 // is final.
 func (x *exchange) clear(ctx context.Context, worker *backend.Worker) (cleared bool, refusal *fault.Error) {
 	var permit WarmupPermit
-	if x.options.Workers.Check(worker, x.allowedRegions()) == eligibility.NeedsWarmupPermit {
+	if x.options.Workers.Check(worker, x.restrictions()) == eligibility.NeedsWarmupPermit {
 		permit = x.acquireWarmupPermit(ctx, worker)
 	}
 	if x.clientCtx.Err() != nil {
@@ -71,7 +71,7 @@
 	if refusal := x.recheckKey(); refusal != nil {
 		return false, refusal
 	}
-	verdict := x.options.Workers.Check(worker, x.allowedRegions())
+	verdict := x.options.Workers.Check(worker, x.restrictions())
 	if verdict.Refused() || verdict == eligibility.NeedsWarmupPermit && !permit.valid() {
 		x.options.Metrics.BlockedSends.WithLabelValues(verdict.String()).Inc()
 		x.recordSendFailure(worker, x.blockReason(worker, verdict))
@@ -134,6 +134,11 @@
 	return left == 0
 }
 
+// restrictions returns the properties of the request that decide which workers may get it.
+func (x *exchange) restrictions() eligibility.Request {
+	return eligibility.Request{Regions: x.allowedRegions(), Version: x.version}
+}
+
 // allowedRegions returns the regions that both the route and the tenant allow.
 func (x *exchange) allowedRegions() locality.Regions {
 	if x.tenant == nil {
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -1,17 +1,170 @@
 package forward
 
 import (
+	"context"
+	"math/rand/v2"
+	"slices"
+
 	"github.com/apex/log"
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/eligibility"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/streamorigin"
 )
 
+// StreamOrigins remembers which software version of a service began each stream. Streams of two versions do not fit together, and
+// workers do not check that.
+type StreamOrigins interface {
+	// Record records where a stream began, for this and other nodes. It does not block.
+	Record(stream string, origin streamorigin.Origin)
+	// Find returns where a stream began. The origin is empty if the outcome says that it was not found.
+	Find(ctx context.Context, stream string) (streamorigin.Origin, streamorigin.Outcome)
+	// SoleVersion returns the only software version that a service has had workers of lately; ok is false if there
+	// may be several.
+	SoleVersion(service string) (version string, ok bool)
+}
+
 // Values of the "since" log field and metric label: which answer holds the events of a continued stream.
 const (
 	sinceSameAnswer   = "answer"  // events of this answer
 	sinceEarlierTries = "request" // events of the client's earlier requests
 )
 
+// Values of the "origin" log field and metric label besides the outcomes of StreamOrigins.Find: why a stream whose origin was not
+// found is continued or refused.
+const (
+	originSole    = "sole"    // its service has had one software version only
+	originUnknown = "unknown" // its service has had several
+)
+
+// takeUp prepares a request that goes on with a stream of an earlier request: only workers of the service and the software
+// version that began the stream may serve it. It refuses the request at once if nobody knows them, or if no such worker is left.
+func (x *exchange) takeUp(ctx context.Context) *fault.Error {
+	if x.request.LastEventID == "" {
+		return nil
+	}
+	origin, outcome := x.findOrigin(ctx)
+	if outcome != originUnknown {
+		x.service, x.version = origin.Service, eligibility.FixedVersion(origin.Version)
+		if origin.Worker != "" {
+			x.home = origin.Worker // it has the prompt cached
+			x.lookUpWorkers(ctx)
+		}
+	}
+	refusal := x.checkTakeUp(outcome)
+	x.logTakenUp(origin, outcome, refusal)
+	return refusal
+}
+
+// findOrigin returns where the stream began that the request goes on with, and how that is known.
+func (x *exchange) findOrigin(ctx context.Context) (origin streamorigin.Origin, outcome string) {
+	if x.options.Origins != nil {
+		found, how := x.options.Origins.Find(ctx, x.tenant.Scope(x.request.Resumes))
+		if how == streamorigin.FoundHere || how == streamorigin.FoundAsked {
+			return found, string(how)
+		}
+	}
+	service := x.chooseService()
+	if version, ok := x.soleVersion(service); ok {
+		return streamorigin.Origin{Service: service, Version: version}, originSole
+	}
+	return streamorigin.Origin{Service: service}, originUnknown
+}
+
+// soleVersion returns the only software version of a service; ok is false if it may have several.
+func (x *exchange) soleVersion(service string) (version string, ok bool) {
+	if x.options.Origins != nil {
+		return x.options.Origins.SoleVersion(service)
+	}
+	if versions := x.options.Workers.SoftwareVersions(service); len(versions) == 1 {
+		return versions[0], true
+	}
+	return "", false
+}
+
+// checkTakeUp refuses a request that goes on with a stream if no worker may do so.
+func (x *exchange) checkTakeUp(outcome string) *fault.Error {
+	isTarget := func(target route.Target) bool { return target.Service == x.service && target.Weight > 0 }
+	switch {
+	case outcome == originUnknown:
+		return fault.New(fault.Unavailable, "several software versions serve, and no node knows which of them began this stream", startAnew).
+			WithRetryAfter(retryAfter + rand.N(retryAfter))
+	case !slices.ContainsFunc(x.route.Targets, isTarget):
+		return fault.Newf(fault.Unavailable, startAnew, "the stream began at service %q, to which its route no longer leads", x.service).
+			WithRetryAfter(retryAfter + rand.N(retryAfter))
+	default:
+		return x.checkVersionServed()
+	}
+}
+
+// startAnew is the remedy for a stream that cannot go on.
+const startAnew = "retry after the delay in Retry-After, or send the request without the last event's ID to start anew"
+
+// checkVersionServed refuses a request that only one software version may serve if no worker of that version is left.
+// Waiting would not help.
+func (x *exchange) checkVersionServed() *fault.Error {
+	if !x.version.Fixed || x.options.Workers.Serves(x.service, x.version) {
+		return nil
+	}
+	if x.options.Finder != nil {
+		x.options.Finder.RecordNoCapacity() // this node may list a part of the workers
+	}
+	refusal := fault.Newf(fault.Unavailable, startAnew, "no worker of service %q runs software version %q, which began the stream", x.service, x.version.Name).
+		WithRetryAfter(retryAfter + rand.N(retryAfter))
+	if x.attempts.any() {
+		return refusal.WithRan(fault.RanUnknown)
+	}
+	return refusal
+}
+
+// recordRelayed records the worker whose event is about to be relayed. With the first one, the software version that may go on with
+// the stream is known, and is recorded for other nodes.
+func (x *exchange) recordRelayed(worker *backend.Worker) {
+	isFirst := x.relayedBy == ""
+	x.relayedBy, x.relayedVersion = worker.Key(), worker.SoftwareVersion()
+	if !isFirst {
+		return
+	}
+	x.version = eligibility.FixedVersion(worker.SoftwareVersion())
+	if x.options.Origins != nil && x.route.Repeatable() {
+		x.options.Origins.Record(x.streamID(), streamorigin.Origin{Service: x.service, Version: worker.SoftwareVersion(), Worker: worker.Key()})
+	}
+}
+
+// streamID returns the name by which clients refer to the stream: the ID of the request that brought its first event.
+func (x *exchange) streamID() string {
+	if x.request.LastEventID != "" && x.request.Resumes != "" {
+		return x.tenant.Scope(x.request.Resumes)
+	}
+	return x.tenant.Scope(x.request.ID)
+}
+
+// isBoundToVersion reports whether some workers of the service may not serve the request because of their software version.
+func (x *exchange) isBoundToVersion() bool {
+	return slices.ContainsFunc(x.options.Workers.SoftwareVersions(x.service), func(name string) bool { return !x.version.Allow(name) })
+}
+
+// logTakenUp logs and counts a request that goes on with a stream of an earlier one.
+func (x *exchange) logTakenUp(origin streamorigin.Origin, outcome string, refusal *fault.Error) {
+	x.options.Metrics.StreamsTakenUp.WithLabelValues(outcome).Inc()
+	entry := x.options.Logger.WithFields(log.Fields{
+		"request":    x.request.ID,
+		"resumes":    x.request.Resumes,
+		"last_event": x.request.LastEventID,
+		"origin":     outcome,
+		"service":    origin.Service,
+		"version":    origin.Version,
+		"relayed_by": origin.Worker,
+	})
+	if refusal != nil {
+		entry.WithField("reason", refusal.Message).Warn("refusing to go on with a stream")
+		return
+	}
+	entry.Info("going on with a stream at workers of the version that began it")
+}
+
 // logContinued logs and counts a send to a worker that is asked to go on with a stream after its last event.
 func (x *exchange) logContinued(worker *backend.Worker) {
 	if x.lastEventID == "" {
@@ -30,12 +183,7 @@
 		"relayed_by":      x.relayedBy,
 		"relayed_version": x.relayedVersion,
 		"worker":          worker.Key(),
-		"version":         worker.Record().SoftwareVersion,
+		"version":         worker.SoftwareVersion(),
 		"send":            x.sends,
 	}).Info("sending a stream's request to go on after its last event")
 }
-
-// recordRelayed records the worker whose event is relayed.
-func (x *exchange) recordRelayed(worker *backend.Worker) {
-	x.relayedBy, x.relayedVersion = worker.Key(), worker.Record().SoftwareVersion
-}
--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -16,7 +16,7 @@
 // continuedLines returns the log lines of sends that go on with a stream.
 func continuedLines(handler *memory.Handler) (lines []log.Fields) {
 	for _, entry := range handler.Entries {
-		if entry.Fields.Get("last_event") != nil && entry.Message != "request" {
+		if entry.Fields.Get("since") != nil {
 			lines = append(lines, entry.Fields)
 		}
 	}
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -39,7 +39,10 @@
 // runTurn prepares a turn, relays its answer and stores it. It does not complete the client's
 // answer.
 func (x *exchange) runTurn(ctx context.Context, configuration *route.Configuration) *fault.Error {
-	if x.startsRetainedProgram() {
+	if refusal := x.takeUp(ctx); refusal != nil {
+		return refusal
+	}
+	if x.startsRetainedProgram() && !x.version.Fixed {
 		x.service = x.chooseService()
 		if refusal := x.admitProgram(ctx, configuration, 1); refusal != nil {
 			return refusal
@@ -52,14 +55,14 @@
 	}
 	x.clock.enter(stepPlace, time.Now())
 	x.body = history.JoinInput(chain, x.request.Body)
-	if len(chain) > 0 {
+	if len(chain) > 0 && x.home == "" {
 		x.home = chain[len(chain)-1].Worker
 	}
 	if reservation != nil && x.home == "" {
 		x.home = reservation.LastWorker
 	}
 	x.lookUpWorkers(ctx)
-	if x.service == "" || x.home != "" {
+	if !x.version.Fixed && (x.service == "" || x.home != "") {
 		x.service = x.chooseService()
 	}
 	perEvent := configuration.Services[x.service].TokensPerEvent
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/directory"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
@@ -22,13 +23,15 @@
 	limits forward.RateLimiter
 	// allowance limits requests to cold workers; nil likewise.
 	allowance forward.WarmupLimiter
+	// origins remembers which software versions began streams; nil likewise.
+	origins *streamOrigins
 	// capacity tracks the free capacity of workers; nil likewise.
 	capacity *capacityTracker
 }
 
 // newComponents returns the components of a node and registers their handlers for calls of other
 // nodes.
-func newComponents(options Options, gate *store.Gate, peers *peers, verifier *verifier) components {
+func newComponents(options Options, gate *store.Gate, peers *peers, verifier *verifier, workers *backend.Registry) components {
 	if peers.address == "" {
 		return newStandaloneComponents(options, gate)
 	}
@@ -56,6 +59,7 @@
 		limits:    newTenantLimits(options, peers, verifier, dir),
 		allowance: newColdAllowance(options, peers, verifier, dir),
 		capacity:  newCapacityTracker(options, peers, verifier, dir),
+		origins:   newStreamOrigins(options, gate, peers, dir, workers.SoftwareVersions),
 	}
 }
 
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -38,6 +38,7 @@
 	deadConnections    *prometheus.CounterVec // by kind of connection
 	grants             *prometheus.CounterVec // by outcome
 	workerLookups      *prometheus.CounterVec // by target and result
+	streamRecords      *prometheus.CounterVec // by result
 
 	commitCalls    *prometheus.CounterVec // by outcome
 	commitRows     prometheus.Histogram
@@ -77,7 +78,8 @@
 	m.deadConnections = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "silent_connections_total", Help: "Connections that were given up because they fell silent, by kind."}, []string{"kind"})
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "grants_total", Help: "Requests for a part of a program's budget that this node answered as the owner, by what came of them."}, []string{"outcome"})
 	m.workerLookups = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "list_questions_total", Help: "Questions to the list of workers for some that this node does not keep, by what was asked for and what came of it."}, []string{"found"})
-	registry.MustRegister(m.workerLookups, m.limitAnswers, m.coldAnswers, m.deadConnections, m.grants, m.roundTrips, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
+	m.streamRecords = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "stream_records_total", Help: "Records of the software versions that began streams by whether another node got them (sent) or did not answer (lost)."}, []string{"result"})
+	registry.MustRegister(m.streamRecords, m.workerLookups, m.limitAnswers, m.coldAnswers, m.deadConnections, m.grants, m.roundTrips, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
 	m.RelayedCalls = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
 	m.InvalidEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "foreign_worker_entries_total", Help: "Entries of the list of workers that appeared or changed and name no worker."})
 	registry.MustRegister(m.Dials, m.WorkerProbes, m.RelayedCalls, m.InvalidEntries, m.tableCalls, m.tableBytes)
@@ -90,6 +92,12 @@
 	m.limitAnswers.WithLabelValues(string(outcome)).Inc()
 }
 
+// StreamRecords counts records of the software versions that began streams.
+func (m *Metrics) StreamRecords(sent, lost int) {
+	m.streamRecords.WithLabelValues("sent").Add(float64(sent))
+	m.streamRecords.WithLabelValues("lost").Add(float64(lost))
+}
+
 // WorkerLookup counts a lookup in the store of workers that this node does not have.
 func (m *Metrics) WorkerLookup(result string) { m.workerLookups.WithLabelValues(result).Inc() }
 
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -17,6 +17,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
+	"github.com/cloverwheel/cloverwheel/internal/streamorigin"
 	"github.com/cloverwheel/cloverwheel/internal/timing"
 	"github.com/cloverwheel/cloverwheel/internal/warmup"
 )
@@ -46,6 +47,9 @@
 	// methodGroupCommit sends turn rows to the owner of a slot, which writes them in a batch with
 	// those of other nodes.
 	methodGroupCommit = "history.gather"
+	// methodRecordStreams sends to a holder which software versions began streams, and methodFindStream asks it.
+	methodRecordStreams = "streams.record"
+	methodFindStream    = "streams.find"
 	// methodProof reads a node's proof that its configuration is the newest.
 	methodProof = "configuration.proof"
 )
@@ -174,7 +178,7 @@
 
 // peerClient calls other nodes and measures the latency of each zone. It implements budget.Peers,
 // directory.Peers, directory.GrantPeers, quota.Peers, warmup.Peers, capacity.Peers,
-// groupcommit.Peers and forward.HistoryPeers.
+// groupcommit.Peers, streamorigin.Peers and forward.HistoryPeers.
 type peerClient struct {
 	transport *meteredTransport
 	latencies timing.LatencyEstimates // by zone of the called process
@@ -296,6 +300,16 @@
 	return answer.Turns, err
 }
 
+// RecordStreams implements streamorigin.Peers.
+func (c *peerClient) RecordStreams(ctx context.Context, holder budget.Holder, request streamorigin.RecordRequest) (streamorigin.RecordAnswer, error) {
+	return callPeer[streamorigin.RecordAnswer](peer.WithRepeatable(ctx), c, holder, methodRecordStreams, request)
+}
+
+// FindStream implements streamorigin.Peers.
+func (c *peerClient) FindStream(ctx context.Context, holder budget.Holder, request streamorigin.FindRequest) (streamorigin.FindAnswer, error) {
+	return callPeer[streamorigin.FindAnswer](peer.WithRepeatable(ctx), c, holder, methodFindStream, request)
+}
+
 // ForwardRows implements groupcommit.Peers.
 func (c *peerClient) ForwardRows(ctx context.Context, owner budget.Holder, request groupcommit.Request) (groupcommit.Answer, error) {
 	if !mayPassThrough(ctx, c.transport.location.Zones, owner) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -128,6 +128,7 @@
 	directory      *directory.Directory // nil: the node runs without peers
 	peers          *peers
 	capacity       *capacityTracker // nil: the node runs without peers
+	origins        *streamOrigins   // nil likewise
 	clients        *clientConns
 	drain          chan struct{}
 	bodyBytes      atomic.Int64 // bytes held by request and response bodies
@@ -158,7 +159,7 @@
 	verifier := newVerifier(options, evacuations)
 	workers = newWorkers(options, verifier)
 	peers := newPeers(options)
-	parts := newComponents(options, gate, peers, verifier)
+	parts := newComponents(options, gate, peers, verifier, workers)
 	finder := &workerFinder{workers: workers, gate: gate, prefixWorkers: map[string]prefixWorkers{}, countLookup: options.Metrics.WorkerLookup}
 	var s *Server
 	s = &Server{
@@ -171,6 +172,7 @@
 		directory:      parts.directory,
 		peers:          peers,
 		capacity:       parts.capacity,
+		origins:        parts.origins,
 		invalidEntries: invalidEntries{},
 		finder:         finder,
 		clients:        newClientConns(options.Settings.Descriptors),
@@ -194,6 +196,7 @@
 			WarmupLimiter:   parts.allowance,
 			ReserveMemory:   func(bytes int64) (func(), bool) { return s.ReserveBodyMemory(bytes) },
 			Finder:          finder,
+			Origins:         parts.origins.forForwarder(),
 			Prober:          options.Prober,
 			Capacity:        parts.capacity.forwarderCapacity(),
 			Estimator:       scheduling.NewEstimator(),
@@ -287,7 +290,7 @@
 	}
 	runs := []func(context.Context){s.sweeper.Run, s.workers.Run, s.monitorStalls, s.verifier.run, s.monitorIsolation}
 	if s.directory != nil {
-		runs = append(runs, s.directory.Run, s.capacity.client.Run)
+		runs = append(runs, s.directory.Run, s.capacity.client.Run, s.origins.versions.Run)
 	}
 	for _, run := range runs {
 		group.Go(func() error {
--- /dev/null
+++ b/internal/streamorigin/client.go
@@ -0,0 +1,272 @@
+package streamorigin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/locality"
+	"github.com/cloverwheel/cloverwheel/internal/timing"
+)
+
+const (
+	// minAskTimeout and maxAskTimeout bound the timeout of a question to a holder; within them it follows the observed
+	// response times of that node. A client waits for the answer.
+	minAskTimeout = 40 * time.Millisecond
+	maxAskTimeout = 250 * time.Millisecond
+	// sendTimeout is the timeout of sending records, for which no client waits.
+	sendTimeout = 500 * time.Millisecond
+	// unsentTTL is how long a record that was not sent may still be sent when a second version appears. It covers the
+	// streams that are in progress, and those that broke just before.
+	unsentTTL = 10 * time.Second
+	// maxUnsent limits the records per service that were not sent; the oldest are dropped.
+	maxUnsent = 2_000
+	// maxBatch limits the records in one message.
+	maxBatch = 500
+)
+
+// Entry is the record of one stream. It is sent between nodes with gob, so its fields keep their names.
+type Entry struct {
+	Stream uint64 // hash of the stream's ID
+	Origin Origin
+}
+
+// RecordRequest sends records to a holder.
+type RecordRequest struct{ Entries []Entry }
+
+// RecordAnswer confirms that a holder has the records.
+type RecordAnswer struct{ Recorded int }
+
+// FindRequest asks a holder for the record of a stream.
+type FindRequest struct{ Stream uint64 }
+
+// FindAnswer is a holder's answer. Origin is empty if Found is false.
+type FindAnswer struct {
+	Found  bool
+	Origin Origin
+}
+
+// Peers sends messages to other nodes.
+type Peers interface {
+	RecordStreams(ctx context.Context, holder budget.Holder, request RecordRequest) (RecordAnswer, error)
+	FindStream(ctx context.Context, holder budget.Holder, request FindRequest) (FindAnswer, error)
+}
+
+// Outcome is how a stream's origin was looked for.
+type Outcome string
+
+// Outcomes of Find.
+const (
+	FoundHere  Outcome = "here"       // this node relayed the stream or holds its record
+	FoundAsked Outcome = "asked"      // another node has the record
+	NotFound   Outcome = "none"       // all nodes that were asked answered that they have no record
+	Unanswered Outcome = "unanswered" // some node did not answer, and no other has the record
+)
+
+// Options configures a Client. Nodes, Peers, Versions and Location are required.
+type Options struct {
+	Location locality.Location
+	// Nodes returns the other nodes that may hold records.
+	Nodes    func() []budget.Holder
+	Peers    Peers
+	Versions *Versions
+	// ResponseTimes estimates the response times of other nodes; nil: the shortest timeouts are used.
+	ResponseTimes timing.TimeoutFunc
+	// OnSent is called with the number of records that a holder got, or that none got; may be nil.
+	OnSent func(sent, lost int)
+}
+
+// Client records and finds the origins of streams, for this node and as a holder for others.
+type Client struct {
+	options Options
+	records *records
+
+	mutex  sync.Mutex
+	unsent map[string][]unsentEntry // by service, oldest first
+}
+
+// unsentEntry is a record that no other node has, since its service had one version when the stream began.
+type unsentEntry struct {
+	Entry
+	at time.Time
+}
+
+// New returns a client without records.
+func New(options Options) *Client {
+	return &Client{options: options, records: newRecords(time.Now()), unsent: map[string][]unsentEntry{}}
+}
+
+// SoleVersion returns the only software version that a service has had workers of lately; ok is false if there may be several.
+func (c *Client) SoleVersion(service string) (version string, ok bool) {
+	return c.options.Versions.Sole(service)
+}
+
+// Record records where a stream began. It does not block.
+func (c *Client) Record(stream string, origin Origin) {
+	now := time.Now()
+	entry := Entry{Stream: hash(stream), Origin: origin}
+	c.records.put(entry.Stream, origin, now)
+	if version, sole := c.SoleVersion(origin.Service); sole && version == origin.Version {
+		c.keepUnsent(entry, now)
+		return
+	}
+	c.options.Versions.Observe(origin.Service, origin.Version)
+	go c.send(append(c.takeUnsent(origin.Service, now), entry))
+}
+
+// VersionsChanged sends the records of a service that were not sent if it has several versions now.
+func (c *Client) VersionsChanged(service string) {
+	if _, sole := c.SoleVersion(service); sole {
+		return
+	}
+	if entries := c.takeUnsent(service, time.Now()); len(entries) > 0 {
+		go c.send(entries)
+	}
+}
+
+func (c *Client) keepUnsent(entry Entry, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	kept := c.unsent[entry.Origin.Service]
+	if len(kept) >= maxUnsent {
+		kept = append([]unsentEntry(nil), kept[len(kept)/2:]...)
+	}
+	c.unsent[entry.Origin.Service] = append(kept, unsentEntry{entry, now})
+}
+
+// takeUnsent removes the records of a service that were not sent, and returns those of the last unsentTTL.
+func (c *Client) takeUnsent(service string, now time.Time) (entries []Entry) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, kept := range c.unsent[service] {
+		if now.Sub(kept.at) < unsentTTL {
+			entries = append(entries, kept.Entry)
+		}
+	}
+	delete(c.unsent, service)
+	return entries
+}
+
+// send sends records to their holders. A holder that does not answer is replaced once, by the next in the stream's order.
+func (c *Client) send(entries []Entry) {
+	others := byRegion(c.options.Location, c.options.Nodes())
+	if len(others) == 0 {
+		return
+	}
+	batches, replacements := map[budget.Holder][]Entry{}, map[budget.Holder]map[budget.Holder][]Entry{}
+	for _, entry := range entries {
+		ranked := rank(entry.Stream, others[0])
+		for _, holder := range ranked[:min(copies, len(ranked))] {
+			batches[holder] = append(batches[holder], entry)
+			if len(ranked) > copies {
+				if replacements[holder] == nil {
+					replacements[holder] = map[budget.Holder][]Entry{}
+				}
+				replacements[holder][ranked[copies]] = append(replacements[holder][ranked[copies]], entry)
+			}
+		}
+	}
+	for holder, batch := range batches {
+		go func() {
+			if c.sendTo(holder, batch) {
+				return
+			}
+			for next, rest := range replacements[holder] {
+				c.sendTo(next, rest)
+			}
+		}()
+	}
+}
+
+// sendTo sends records to one holder and reports whether it has them.
+func (c *Client) sendTo(holder budget.Holder, entries []Entry) (sent bool) {
+	for len(entries) > 0 {
+		batch := entries[:min(maxBatch, len(entries))]
+		entries = entries[len(batch):]
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		_, err := c.options.Peers.RecordStreams(ctx, holder, RecordRequest{Entries: batch})
+		cancel()
+		if c.options.OnSent != nil && err == nil {
+			c.options.OnSent(len(batch), 0)
+		}
+		if err != nil {
+			if c.options.OnSent != nil {
+				c.options.OnSent(0, len(batch)+len(entries))
+			}
+			return false
+		}
+	}
+	return true
+}
+
+// Find returns where a stream began. An empty name is never found.
+func (c *Client) Find(ctx context.Context, stream string) (Origin, Outcome) {
+	if stream == "" {
+		return Origin{}, NotFound
+	}
+	key := hash(stream)
+	if origin, ok := c.records.get(key, time.Now()); ok {
+		return origin, FoundHere
+	}
+	holders := c.holdersToAsk(key)
+	results := make(chan findResult, len(holders))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, holder := range holders {
+		go func() { results <- c.ask(ctx, holder, key) }()
+	}
+	outcome := NotFound
+	for range holders {
+		switch result := <-results; {
+		case result.answer.Found:
+			return result.answer.Origin, FoundAsked
+		case result.err != nil:
+			outcome = Unanswered
+		}
+	}
+	return Origin{}, outcome
+}
+
+// findResult is the result of a question to one holder.
+type findResult struct {
+	answer FindAnswer
+	err    error
+}
+
+// ask asks one holder for a record.
+func (c *Client) ask(ctx context.Context, holder budget.Holder, stream uint64) findResult {
+	timeout := minAskTimeout
+	if c.options.ResponseTimes != nil {
+		timeout = c.options.ResponseTimes.For(holder.Process, minAskTimeout, maxAskTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := c.options.Peers.FindStream(ctx, holder, FindRequest{Stream: stream})
+	return findResult{answer, err}
+}
+
+// holdersToAsk returns the nodes that may hold the record of a stream: some of each region, since a client may come
+// back through another one.
+func (c *Client) holdersToAsk(stream uint64) (holders []budget.Holder) {
+	for _, group := range byRegion(c.options.Location, c.options.Nodes()) {
+		ranked := rank(stream, group)
+		holders = append(holders, ranked[:min(asked, len(ranked))]...)
+	}
+	return holders
+}
+
+// HandleRecord keeps the records of another node.
+func (c *Client) HandleRecord(request RecordRequest) RecordAnswer {
+	now := time.Now()
+	for _, entry := range request.Entries {
+		c.records.put(entry.Stream, entry.Origin, now)
+	}
+	return RecordAnswer{Recorded: len(request.Entries)}
+}
+
+// HandleFind answers the question of another node.
+func (c *Client) HandleFind(request FindRequest) FindAnswer {
+	origin, ok := c.records.get(request.Stream, time.Now())
+	return FindAnswer{Found: ok, Origin: origin}
+}
