--- a/internal/server/messages_test.go
+++ b/internal/server/messages_test.go
@@ -18,6 +18,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/scheduling"
 	"github.com/cloverwheel/cloverwheel/internal/staleness"
 	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/streamorigin"
 )
 
 // goldenMessages are messages between nodes as encoded by released builds. A changed message gets
@@ -41,7 +42,11 @@
 			From: "p1", Sequence: 9, Group: capacity.Group{Service: "s", Zone: "a", Number: 1}, Running: []capacity.Running{{Worker: "w@1", Requests: 2, Tokens: 300}},
 			Lasts: time.Second, Pending: []uint64{8}, Ended: 3, Held: time.Second, Declined: []string{"x@1"},
 		}, Ask: &capacity.Ask{Home: "w@1", Fresh: 100, Tokens: 200, Exclude: []string{"y@1"}, Patience: time.Millisecond, Program: scheduling.Program{Key: "k", Timed: true, Finish: time.Second}}},
-		methodCapacity + "-answer-1": capacity.Answer{Keeper: true, Outcome: capacity.OutcomeAssigned, Worker: "w@1", After: time.Second, Reason: capacity.ReasonHome, Busy: 0.5, Settled: true, Waiting: 2, HeldFor: time.Millisecond},
+		methodRecordStreams + "-request-1": streamorigin.RecordRequest{Entries: []streamorigin.Entry{{Stream: 7, Origin: streamorigin.Origin{Service: "s", Version: "v1", Worker: "w@1"}}}},
+		methodRecordStreams + "-answer-1":  streamorigin.RecordAnswer{Recorded: 1},
+		methodFindStream + "-request-1":    streamorigin.FindRequest{Stream: 7},
+		methodFindStream + "-answer-1":     streamorigin.FindAnswer{Found: true, Origin: streamorigin.Origin{Service: "s", Version: "v1", Worker: "w@1"}},
+		methodCapacity + "-answer-1":       capacity.Answer{Keeper: true, Outcome: capacity.OutcomeAssigned, Worker: "w@1", After: time.Second, Reason: capacity.ReasonHome, Busy: 0.5, Settled: true, Waiting: 2, HeldFor: time.Millisecond},
 	}
 }
 
