outlier: a verdict's time is bounded by the trial delay also when the clock steps back

A verdict's "until" is the time left until a trial; a clock that stepped back after the ejection made it longer than the longest delay (2.001 s of 2 s). It is bounded by the ejection's delay now. The product's clock is monotonic, so nobody saw this outside of the test.

--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -244,7 +244,8 @@
 		verdict.Trial = w.offerSlowTrial(now)
 		return verdict
 	}
-	verdict.Until = max(w.ejection.nextTrial.Sub(now), minVerdictDuration)
+	untilTrial := min(w.ejection.nextTrial.Sub(now), w.ejection.delay) // more than the delay if the clock stepped back
+	verdict.Until = max(untilTrial, minVerdictDuration)
 	verdict.Trial = w.ejection.offerTrial(now)
 	return verdict
 }
