forward: only streams that have begun bypass the search for capacity because of their version

A stream that has not begun may go to any registered version. While a listed version was not registered, which lasts as long as the table refuses the write, all resumable streams were placed by local information alone. Found by reading.

--- a/internal/forward/capacity.go
+++ b/internal/forward/capacity.go
@@ -31,7 +31,7 @@
 
 // findCapacity reserves a slot for the request while capacity is short, and returns its worker;
 // nil: a worker must be chosen by local information. A request that is restricted to the workers in
-// only, or to those of some software versions of several, goes to them whatever their load.
+// only, or to those of one software version of several, goes to them whatever their load.
 func (x *exchange) findCapacity(ctx context.Context, only []string) *backend.Worker {
 	if x.options.Capacity == nil || len(only) > 0 || x.homeAccepts() || x.isBoundToVersion() {
 		return nil
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -161,9 +161,9 @@
 	return x.tenant.Scope(x.request.ID)
 }
 
-// isBoundToVersion reports whether some workers of the service may not serve the request because of their software version.
+// isBoundToVersion reports whether the stream has begun, and some workers of its service run another software version.
 func (x *exchange) isBoundToVersion() bool {
-	return slices.ContainsFunc(x.options.Workers.SoftwareVersions(x.service), func(name string) bool { return !x.versions.Allow(name) })
+	return x.version != nil && slices.ContainsFunc(x.options.Workers.SoftwareVersions(x.service), func(name string) bool { return !x.versions.Allow(name) })
 }
 
 // logTakenUp logs and counts a request that goes on with a stream of an earlier one.
