streamorigin: a version that is listed while another one is registered is registered too

Found by reading: the end of a registration dropped what was listed after its last write, until the next change of the worker list; workers of that version got no resumable streams meanwhile. TestVersionListedDuringARegistrationIsRegistered failed before.

--- a/internal/server/streamorigins.go
+++ b/internal/server/streamorigins.go
@@ -13,7 +13,6 @@
 type streamOrigins struct {
 	client   *streamorigin.Client
 	versions *streamorigin.Versions
-	listed   func(service string) []string
 	// resumable returns the services with streams that another worker may go on with; set by attach.
 	resumable func() []string
 }
@@ -21,7 +20,7 @@
 // newStreamOrigins returns the records of a node and registers their handlers for calls of other nodes. listed returns the software
 // versions of the workers that this node lists.
 func newStreamOrigins(options Options, rows streamorigin.RowStore, peers *peers, dir *directory.Directory, listed func(service string) []string) *streamOrigins {
-	o := &streamOrigins{listed: listed, resumable: func() []string { return nil }}
+	o := &streamOrigins{resumable: func() []string { return nil }}
 	o.versions = streamorigin.NewVersions(streamorigin.VersionsOptions{
 		Feed: options.Store, Store: rows, Listed: listed, OnChange: func(service string) { o.client.VersionsChanged(service) }, OnLoad: o.registerListed, Logger: options.Logger,
 	})
@@ -66,9 +65,7 @@
 		return
 	}
 	for _, service := range o.resumable() {
-		for _, version := range o.listed(service) {
-			o.versions.Observe(service, version)
-		}
+		o.versions.ObserveListed(service)
 		o.client.VersionsChanged(service)
 	}
 }
--- a/internal/streamorigin/cluster_test.go
+++ b/internal/streamorigin/cluster_test.go
@@ -30,6 +30,8 @@
 	messages int
 	commits  int
 	suspect  bool
+	// afterCommit is called once, after the next write and before its caller hears of it; nil: nothing is.
+	afterCommit func()
 }
 
 // testNode is a node of a testCluster, and the Peers of its client.
@@ -48,8 +50,14 @@
 func (c *testCluster) Commit(ctx context.Context, transaction store.Transaction) (store.Version, error) {
 	c.mutex.Lock()
 	c.commits++
+	then := c.afterCommit
+	c.afterCommit = nil
 	c.mutex.Unlock()
-	return c.table.Commit(ctx, transaction)
+	version, err := c.table.Commit(ctx, transaction)
+	if then != nil {
+		then()
+	}
+	return version, err
 }
 
 func (c *testCluster) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
@@ -119,9 +127,7 @@
 }
 
 func (n *testNode) observe() {
-	for _, version := range n.list("s") {
-		n.versions.Observe("s", version)
-	}
+	n.versions.ObserveListed("s")
 	n.client.VersionsChanged("s")
 }
 
@@ -309,3 +315,19 @@
 		require.True(t, several)
 	})
 }
+
+// Guards against a version that is listed while another one is being registered, and is then never registered.
+func TestVersionListedDuringARegistrationIsRegistered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(1, "v1")
+		node := c.nodes[0]
+		c.mutex.Lock()
+		c.afterCommit = func() { node.setListed("v1", "v2", "v3") }
+		c.mutex.Unlock()
+		node.setListed("v1", "v2")
+		time.Sleep(time.Second)
+		versions, _ := node.versions.Registered("s")
+		c.stop()
+		require.Equal(t, []string{"v1", "v2", "v3"}, versions)
+	})
+}
