--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -30,10 +30,10 @@
 	// route allows.
 	AttemptsDropped *prometheus.CounterVec
 	ExcessAttempts  prometheus.Counter
-	// StreamsTakenUp counts requests that go on with a stream of an earlier request, by how the software version that
+	// ResumedStreams counts requests that resume a stream of an earlier request, by how the software version that
 	// began it is known.
-	StreamsTakenUp *prometheus.CounterVec
-	// ContinuedStreams counts sends of streams that go on after an event, by which answer has the
+	ResumedStreams *prometheus.CounterVec
+	// ContinuedStreams counts sends of streams that are continued after an event, by which answer has the
 	// earlier events.
 	ContinuedStreams *prometheus.CounterVec
 	// Admissions counts turns of programs with a deadline, by the reason why they were admitted
@@ -64,9 +64,9 @@
 	m.steps = newStepSeconds(registry, buckets)
 	m.ExcessAttempts = counter("requests_beyond_attempts_total", "Requests that may have run at more workers than their route allows, those included that have ended.")
 	m.Admissions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "program_admissions_total", Help: "Turns of programs with a time by why they were let in (under_way, room, in_time, promised, untimed) or refused (too_late, crowded, leaves)."}, []string{"reason"})
-	m.ContinuedStreams = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "streams_continued_total", Help: "Sends of streams that go on after an event, by whether this answer has the earlier events (answer) or the client's earlier requests (request)."}, []string{"since"})
-	m.StreamsTakenUp = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "streams_taken_up_total", Help: "Requests that go on with a stream of an earlier request by how the software version that began it is known (here, asked, sole), or unknown, which is refused."}, []string{"origin"})
-	registry.MustRegister(m.StreamsTakenUp, m.ContinuedStreams, m.Admissions, m.Requests, m.Duration, m.FirstEvent, m.SendsByDistance, m.BlockedSends, m.AttemptsDropped)
+	m.ContinuedStreams = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "streams_continued_total", Help: "Sends of streams that are continued after an event, by whether this answer has the earlier events (answer) or the client's earlier requests (request)."}, []string{"since"})
+	m.ResumedStreams = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "streams_resumed_total", Help: "Requests that resume a stream of an earlier request by how the software version that began it is known (here, asked, sole), or unknown, which is refused."}, []string{"origin"})
+	registry.MustRegister(m.ResumedStreams, m.ContinuedStreams, m.Admissions, m.Requests, m.Duration, m.FirstEvent, m.SendsByDistance, m.BlockedSends, m.AttemptsDropped)
 	return m
 }
 
@@ -117,7 +117,7 @@
 		fields["version"] = x.relayedVersion
 	}
 	if x.request.LastEventID != "" {
-		fields["resumes"], fields["last_event"] = x.request.Resumes, x.request.LastEventID
+		fields["resumes"], fields["last_event"] = x.request.ResumedRequest, x.request.LastEventID
 	}
 	if x.budgetDrawn {
 		fields["drawn"] = true
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -45,9 +45,9 @@
 	Object         string // object that the request concerns; requests for one object go to the same worker; empty: none
 	PreviousTurn   string // turn that this one continues; empty: none
 	LastEventID    string // ID of the last event that the client has; empty: none
-	// Resumes is the ID of the client's earlier request that brought the first event of the stream
-	// that this one goes on with; empty: unknown, or the client has no event.
-	Resumes string
+	// ResumedRequest is the ID of the client's earlier request that brought the first event of the stream
+	// that this one resumes; empty: unknown, or the client has no event.
+	ResumedRequest string
 }
 
 // Call is a request as it is sent to a worker.
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -41,9 +41,9 @@
 	originUnknown = "unknown" // its service has had several
 )
 
-// takeUp prepares a request that goes on with a stream of an earlier request: only workers of the service and the software
+// resume prepares a request that resumes a stream of an earlier request: only workers of the service and the software
 // version that began the stream may serve it. It refuses the request at once if nobody knows them, or if no such worker is left.
-func (x *exchange) takeUp(ctx context.Context) *fault.Error {
+func (x *exchange) resume(ctx context.Context) *fault.Error {
 	if x.request.LastEventID == "" {
 		return nil
 	}
@@ -56,8 +56,8 @@
 		x.home = origin.Worker // it has the prompt cached
 		x.lookUpWorkers(ctx)
 	}
-	refusal := x.checkTakeUp(outcome)
-	x.logTakenUp(origin, outcome, refusal)
+	refusal := x.checkResume(outcome)
+	x.logResumed(origin, outcome, refusal)
 	return refusal
 }
 
@@ -66,7 +66,7 @@
 	x.version, x.versions = &version, eligibility.OnlyVersions(version)
 }
 
-// restrictVersions updates which software versions may serve the request, unless it is bound to one. A stream that may be taken up
+// restrictVersions updates which software versions may serve the request, unless it is bound to one. A stream that may be resumed
 // at another node begins only at a registered version, so that this node knows whether there are several.
 func (x *exchange) restrictVersions() {
 	if x.version != nil || x.options.Origins == nil || x.route.Kind != route.Streaming || !x.route.Repeatable() {
@@ -78,10 +78,10 @@
 	}
 }
 
-// findOrigin returns where the stream began that the request goes on with, and how that is known.
+// findOrigin returns where the stream began that the request resumes, and how that is known.
 func (x *exchange) findOrigin(ctx context.Context) (origin streamorigin.Origin, outcome string) {
 	if x.options.Origins != nil {
-		found, how := x.options.Origins.Find(ctx, x.tenant.Scope(x.request.Resumes))
+		found, how := x.options.Origins.Find(ctx, x.tenant.Scope(x.request.ResumedRequest))
 		if how == streamorigin.FoundHere || how == streamorigin.FoundAsked {
 			return found, string(how)
 		}
@@ -104,8 +104,8 @@
 	return "", false
 }
 
-// checkTakeUp refuses a request that goes on with a stream if no worker may do so.
-func (x *exchange) checkTakeUp(outcome string) *fault.Error {
+// checkResume refuses a request that resumes a stream if no worker may continue it.
+func (x *exchange) checkResume(outcome string) *fault.Error {
 	isTarget := func(target route.Target) bool { return target.Service == x.service && target.Weight > 0 }
 	switch {
 	case outcome == originUnknown:
@@ -119,7 +119,7 @@
 	}
 }
 
-// startAnew is the remedy for a stream that cannot go on.
+// startAnew is the remedy for a stream that cannot be continued.
 const startAnew = "retry after the delay in Retry-After, or send the request without the last event's ID to start anew"
 
 // checkVersionServed refuses a request that only one software version may serve if no worker of that version is left.
@@ -139,7 +139,7 @@
 	return refusal
 }
 
-// recordRelayed records the worker whose event is about to be relayed. With the first one, the software version that may go on with
+// recordRelayed records the worker whose event is about to be relayed. With the first one, the software version that may continue
 // the stream is known, and is recorded for other nodes.
 func (x *exchange) recordRelayed(worker *backend.Worker) {
 	isFirst := x.relayedBy == ""
@@ -155,8 +155,8 @@
 
 // streamID returns the name by which clients refer to the stream: the ID of the request that brought its first event.
 func (x *exchange) streamID() string {
-	if x.request.LastEventID != "" && x.request.Resumes != "" {
-		return x.tenant.Scope(x.request.Resumes)
+	if x.request.LastEventID != "" && x.request.ResumedRequest != "" {
+		return x.tenant.Scope(x.request.ResumedRequest)
 	}
 	return x.tenant.Scope(x.request.ID)
 }
@@ -166,12 +166,12 @@
 	return x.version != nil && slices.ContainsFunc(x.options.Workers.SoftwareVersions(x.service), func(name string) bool { return !x.versions.Allow(name) })
 }
 
-// logTakenUp logs and counts a request that goes on with a stream of an earlier one.
-func (x *exchange) logTakenUp(origin streamorigin.Origin, outcome string, refusal *fault.Error) {
-	x.options.Metrics.StreamsTakenUp.WithLabelValues(outcome).Inc()
+// logResumed logs and counts a request that resumes a stream of an earlier one.
+func (x *exchange) logResumed(origin streamorigin.Origin, outcome string, refusal *fault.Error) {
+	x.options.Metrics.ResumedStreams.WithLabelValues(outcome).Inc()
 	entry := x.options.Logger.WithFields(log.Fields{
 		"request":    x.request.ID,
-		"resumes":    x.request.Resumes,
+		"resumes":    x.request.ResumedRequest,
 		"last_event": x.request.LastEventID,
 		"origin":     outcome,
 		"service":    origin.Service,
@@ -179,13 +179,13 @@
 		"relayed_by": origin.Worker,
 	})
 	if refusal != nil {
-		entry.WithField("reason", refusal.Message).Warn("refusing to go on with a stream")
+		entry.WithField("reason", refusal.Message).Warn("refusing to resume a stream")
 		return
 	}
-	entry.Info("going on with a stream at workers of the version that began it")
+	entry.Info("resuming a stream at workers of the version that began it")
 }
 
-// logContinued logs and counts a send to a worker that is asked to go on with a stream after its last event.
+// logContinued logs and counts a send to a worker that is asked to continue a stream after its last event.
 func (x *exchange) logContinued(worker *backend.Worker) {
 	if x.lastEventID == "" {
 		return
@@ -197,7 +197,7 @@
 	x.options.Metrics.ContinuedStreams.WithLabelValues(since).Inc()
 	x.options.Logger.WithFields(log.Fields{
 		"request":         x.request.ID,
-		"resumes":         x.request.Resumes,
+		"resumes":         x.request.ResumedRequest,
 		"since":           since,
 		"last_event":      x.lastEventID,
 		"relayed_by":      x.relayedBy,
@@ -205,5 +205,5 @@
 		"worker":          worker.Key(),
 		"version":         worker.SoftwareVersion(),
 		"send":            x.sends,
-	}).Info("sending a stream's request to go on after its last event")
+	}).Info("sending a stream's request to be continued after its last event")
 }
--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -38,7 +38,7 @@
 	require.Contains(t, []string{"w1", "w2"}, lines[0].Get("relayed_by"))
 
 	handler.Entries = nil
-	f.serve(context.Background(), func(r *Request) { r.LastEventID, r.Resumes = "1", "r0" })
+	f.serve(context.Background(), func(r *Request) { r.LastEventID, r.ResumedRequest = "1", "r0" })
 	lines = continuedLines(handler)
 	require.NotEmpty(t, lines)
 	require.Equal(t, sinceEarlierTries, lines[0].Get("since"))
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -39,7 +39,7 @@
 // runTurn prepares a turn, relays its answer and stores it. It does not complete the client's
 // answer.
 func (x *exchange) runTurn(ctx context.Context, configuration *route.Configuration) *fault.Error {
-	if refusal := x.takeUp(ctx); refusal != nil {
+	if refusal := x.resume(ctx); refusal != nil {
 		return refusal
 	}
 	if x.startsRetainedProgram() && x.version == nil {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -139,7 +139,7 @@
 	routes  int // number of routes
 	// targetServices are the services with a positive weight in any route.
 	targetServices []string
-	// resumableServices are those of them to which streams lead that another worker may go on with.
+	// resumableServices are those of them to which streams lead that another worker may continue.
 	resumableServices []string
 	// priorities are the priorities of the routes to each service, ascending.
 	priorities map[string][]int
--- a/internal/server/streamorigins.go
+++ b/internal/server/streamorigins.go
@@ -13,7 +13,7 @@
 type streamOrigins struct {
 	client   *streamorigin.Client
 	versions *streamorigin.Versions
-	// resumable returns the services with streams that another worker may go on with; set by attach.
+	// resumable returns the services with streams that another worker may continue; set by attach.
 	resumable func() []string
 }
 
--- a/internal/streamorigin/doc.go
+++ b/internal/streamorigin/doc.go
@@ -1,5 +1,5 @@
 // Package streamorigin remembers which software version of a service began each stream, so that a node that a client asks to
-// go on with a stream, after its connection or node was lost, sends the request to a worker of that version only.
+// resume a stream, after its connection or node was lost, sends the request to a worker of that version only.
 //
 // The node that relays a stream's first event sends a record to two other nodes, chosen by the hash of the stream's ID, without
 // delaying the event. Another node finds the record there. Records are in memory: a stream whose origin nobody remembers is not
