httpconn: the test of a reported connection cancels once the peer has read the request

Shown by a run that cancels before Send: the same error. The case is allowed: nothing was sent, and the request can go to another worker. No code of the product.

--- a/internal/httpconn/unresponsive_test.go
+++ b/internal/httpconn/unresponsive_test.go
@@ -23,13 +23,15 @@
 	mutex   sync.Mutex
 	open    []chan struct{} // closed for stalled connections
 	dials   int
+	// unanswered gets an entry when a stalled connection has read a request, unless it has one.
+	unanswered chan struct{}
 }
 
 func newStallingServer(t *testing.T) *stallingServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	s := &stallingServer{address: listener.Addr().String()}
+	s := &stallingServer{address: listener.Addr().String(), unanswered: make(chan struct{}, 1)}
 	go func() {
 		for {
 			connection, err := listener.Accept()
@@ -56,6 +58,10 @@
 		}
 		select {
 		case <-stalled:
+			select {
+			case s.unanswered <- struct{}{}:
+			default:
+			}
 		default:
 			_, _ = io.WriteString(connection, ok)
 		}
@@ -168,7 +174,10 @@
 	fillIdle(t, p, 2)
 	peer.stall()
 	ctx, cancel := context.WithCancelCause(t.Context())
-	time.AfterFunc(time.Millisecond, func() { cancel(ErrUnresponsive) })
+	go func() {
+		<-peer.unanswered
+		cancel(ErrUnresponsive)
+	}()
 	_, err := p.Send(ctx, get())
 	require.ErrorIs(t, err, ErrUnresponsive)
 	require.Empty(t, p.idle)
