--- a/internal/forward/auth.go
+++ b/internal/forward/auth.go
@@ -69,10 +69,10 @@
 	if refusal == nil && (holder == nil || holder.Name != x.tenant.Name) {
 		refusal = unknownKeyError(x.Configuration(), x.request.Key) // the key now belongs to another tenant, or keys are no longer needed
 	}
-	if refusal != nil && x.attempts.any() {
-		return refusal.WithRan(fault.RanUnknown)
+	if refusal == nil {
+		return nil
 	}
-	return refusal
+	return x.withRan(refusal)
 }
 
 // previousTurn is the stored ID of the turn that this one continues.
--- a/internal/forward/availability.go
+++ b/internal/forward/availability.go
@@ -46,6 +46,11 @@
 	default:
 		return nil
 	}
+	return x.withRan(refusal)
+}
+
+// withRan returns a refusal that says whether the request may have run at a worker.
+func (x *exchange) withRan(refusal *fault.Error) *fault.Error {
 	if x.attempts.any() {
 		return refusal.WithRan(fault.RanUnknown)
 	}
--- a/internal/forward/closing.go
+++ b/internal/forward/closing.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/fault"
@@ -32,7 +31,7 @@
 		return nil
 	}
 	return fault.New(fault.Unavailable, "this node is about to stop", "send the request to another node").
-		WithRetryAfter(retryAfter + rand.N(retryAfter))
+		WithRetryAfter(jitteredRetryAfter())
 }
 
 // beginsWhileClosing reports whether a closing node begins a request: a plain one that ends before
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -112,6 +112,9 @@
 	deadlineMargin = 10 * time.Millisecond
 )
 
+// jitteredRetryAfter returns a retry delay that differs between clients, so that they do not all come back at once.
+func jitteredRetryAfter() time.Duration { return retryAfter + rand.N(retryAfter) }
+
 // exchange is the state of one request.
 type exchange struct {
 	*Forwarder
@@ -145,7 +148,6 @@
 	versions         eligibility.Versions      // software versions that may serve the request
 	version          *string                   // the only one of them, which began the stream; nil: the stream has not begun
 	relayedBy        string                    // key of the worker whose event was relayed last; empty: none was
-	relayedVersion   string                    // software version of that worker
 	budgetDrawn      bool                      // this node had to draw tokens for the turn
 	budgetHandedOver bool                      // another node handed tokens over
 	budgetLocated    bool                      // the directory named the nodes to ask for tokens
@@ -303,7 +305,7 @@
 	if x.coldRetryAfter > 0 {
 		return refusal.WithRetryAfter(x.coldRetryAfter + rand.N(retryAfter))
 	}
-	return refusal.WithRetryAfter(retryAfter + rand.N(retryAfter))
+	return refusal.WithRetryAfter(jitteredRetryAfter())
 }
 
 // affinityKey returns the key by which related requests are sent to the same worker: of the
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -114,7 +114,7 @@
 	}
 	if x.events > 0 {
 		fields["events"] = x.events
-		fields["version"] = x.relayedVersion
+		fields["version"] = x.relayedVersion()
 	}
 	if x.request.LastEventID != "" {
 		fields["resumes"], fields["last_event"] = x.request.ResumedRequest, x.request.LastEventID
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 
 	"github.com/apex/log"
@@ -69,7 +68,7 @@
 // restrictVersions updates which software versions may serve the request, unless it is bound to one. A stream that may be resumed
 // at another node begins only at a registered version, so that this node knows whether there are several.
 func (x *exchange) restrictVersions() {
-	if x.version != nil || x.options.Origins == nil || x.route.Kind != route.Streaming || !x.route.Repeatable() {
+	if x.version != nil || x.options.Origins == nil || !x.route.HasResumableStreams() {
 		return
 	}
 	x.versions = eligibility.Versions{}
@@ -110,10 +109,10 @@
 	switch {
 	case outcome == originUnknown:
 		return fault.New(fault.Unavailable, "several software versions may have served, and no node that answers knows which of them began this stream", startAnew).
-			WithRetryAfter(retryAfter + rand.N(retryAfter))
+			WithRetryAfter(jitteredRetryAfter())
 	case !slices.ContainsFunc(x.route.Targets, isTarget):
 		return fault.Newf(fault.Unavailable, startAnew, "the stream began at service %q, to which its route no longer leads", x.service).
-			WithRetryAfter(retryAfter + rand.N(retryAfter))
+			WithRetryAfter(jitteredRetryAfter())
 	default:
 		return x.checkVersionServed()
 	}
@@ -132,27 +131,32 @@
 		x.options.Finder.RecordNoCapacity() // this node may list a part of the workers
 	}
 	refusal := fault.Newf(fault.Unavailable, startAnew, "no worker of service %q runs software version %q, which began the stream", x.service, *x.version).
-		WithRetryAfter(retryAfter + rand.N(retryAfter))
-	if x.attempts.any() {
-		return refusal.WithRan(fault.RanUnknown)
-	}
-	return refusal
+		WithRetryAfter(jitteredRetryAfter())
+	return x.withRan(refusal)
 }
 
 // recordRelayed records the worker whose event is about to be relayed. With the first one, the software version that may continue
 // the stream is known, and is recorded for other nodes.
 func (x *exchange) recordRelayed(worker *backend.Worker) {
 	isFirst := x.relayedBy == ""
-	x.relayedBy, x.relayedVersion = worker.Key(), worker.SoftwareVersion()
+	x.relayedBy = worker.Key()
 	if !isFirst {
 		return
 	}
 	x.bindTo(worker.SoftwareVersion())
-	if x.options.Origins != nil && x.route.Repeatable() {
+	if x.options.Origins != nil && x.route.HasResumableStreams() {
 		x.options.Origins.Record(x.streamID(), streamorigin.Origin{Service: x.service, Version: worker.SoftwareVersion(), Worker: worker.Key()})
 	}
 }
 
+// relayedVersion returns the software version of the workers whose events were relayed; empty: none were.
+func (x *exchange) relayedVersion() string {
+	if x.relayedBy == "" {
+		return ""
+	}
+	return *x.version
+}
+
 // streamID returns the name by which clients refer to the stream: the ID of the request that brought its first event.
 func (x *exchange) streamID() string {
 	if x.request.LastEventID != "" && x.request.ResumedRequest != "" {
@@ -201,7 +205,7 @@
 		"since":           since,
 		"last_event":      x.lastEventID,
 		"relayed_by":      x.relayedBy,
-		"relayed_version": x.relayedVersion,
+		"relayed_version": x.relayedVersion(),
 		"worker":          worker.Key(),
 		"version":         worker.SoftwareVersion(),
 		"send":            x.sends,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -69,9 +69,12 @@
 	return position - math.Floor(position)
 }
 
+// HasResumableStreams reports whether another worker may continue an interrupted stream of the route.
+func (r *Route) HasResumableStreams() bool { return r.Kind == Streaming && r.Resumable }
+
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
+	return r.Kind == Safe || r.HasResumableStreams()
 }
 
 // Service returns the target service for a draw in [0, 1), by weight; "" without targets.
@@ -184,7 +187,7 @@
 		if !slices.Contains(c.targetServices, target.Service) {
 			c.targetServices = append(c.targetServices, target.Service)
 		}
-		if route.Kind == Streaming && route.Resumable && !slices.Contains(c.resumableServices, target.Service) {
+		if route.HasResumableStreams() && !slices.Contains(c.resumableServices, target.Service) {
 			c.resumableServices = append(c.resumableServices, target.Service)
 		}
 		priorities := c.priorities[target.Service]
--- a/internal/server/streamorigins.go
+++ b/internal/server/streamorigins.go
@@ -65,7 +65,7 @@
 		return
 	}
 	for _, service := range o.resumable() {
-		o.versions.ObserveListed(service)
+		o.versions.RegisterListed(service)
 		o.client.VersionsChanged(service)
 	}
 }
--- a/internal/streamorigin/client.go
+++ b/internal/streamorigin/client.go
@@ -58,10 +58,9 @@
 
 // Outcomes of Find.
 const (
-	FoundHere  Outcome = "here"       // this node relayed the stream or holds its record
-	FoundAsked Outcome = "asked"      // another node has the record
-	NotFound   Outcome = "none"       // all nodes that were asked answered that they have no record
-	Unanswered Outcome = "unanswered" // some node did not answer, and no other has the record
+	FoundHere  Outcome = "here"  // this node relayed the stream or holds its record
+	FoundAsked Outcome = "asked" // another node has the record
+	NotFound   Outcome = "none"  // no node that answered has the record
 )
 
 // Options configures a Client. Nodes, Peers, Versions and Location are required.
@@ -94,6 +93,9 @@
 
 // New returns a client without records.
 func New(options Options) *Client {
+	if options.OnSent == nil {
+		options.OnSent = func(int, int) {}
+	}
 	return &Client{options: options, records: newRecords(time.Now()), unsent: map[string][]unsentEntry{}}
 }
 
@@ -158,31 +160,30 @@
 	if len(others) == 0 {
 		return
 	}
-	batches, replacements := map[budget.Holder][]Entry{}, map[budget.Holder]map[budget.Holder][]Entry{}
-	for _, entry := range entries {
-		ranked := rank(entry.Stream, others[0])
-		for _, holder := range ranked[:min(copies, len(ranked))] {
-			batches[holder] = append(batches[holder], entry)
-			if len(ranked) > copies {
-				if replacements[holder] == nil {
-					replacements[holder] = map[budget.Holder][]Entry{}
-				}
-				replacements[holder][ranked[copies]] = append(replacements[holder][ranked[copies]], entry)
-			}
-		}
-	}
-	for holder, batch := range batches {
+	for holder, batch := range groupByHolder(entries, others[0], 0, copies) {
 		go func() {
 			if c.sendTo(holder, batch) {
 				return
 			}
-			for next, rest := range replacements[holder] {
+			for next, rest := range groupByHolder(batch, others[0], copies, copies+1) {
 				c.sendTo(next, rest)
 			}
 		}()
 	}
 }
 
+// groupByHolder groups records by those nodes that come from the first to before the second position in their streams' orders.
+func groupByHolder(entries []Entry, nodes []budget.Holder, from, to int) map[budget.Holder][]Entry {
+	groups := map[budget.Holder][]Entry{}
+	for _, entry := range entries {
+		ranked := rank(entry.Stream, nodes)
+		for _, holder := range ranked[min(from, len(ranked)):min(to, len(ranked))] {
+			groups[holder] = append(groups[holder], entry)
+		}
+	}
+	return groups
+}
+
 // sendTo sends records to one holder and reports whether it has them.
 func (c *Client) sendTo(holder budget.Holder, entries []Entry) (sent bool) {
 	for len(entries) > 0 {
@@ -191,15 +192,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 		_, err := c.options.Peers.RecordStreams(ctx, holder, RecordRequest{Entries: batch})
 		cancel()
-		if c.options.OnSent != nil && err == nil {
-			c.options.OnSent(len(batch), 0)
-		}
 		if err != nil {
-			if c.options.OnSent != nil {
-				c.options.OnSent(0, len(batch)+len(entries))
-			}
+			c.options.OnSent(0, len(batch)+len(entries))
 			return false
 		}
+		c.options.OnSent(len(batch), 0)
 	}
 	return true
 }
@@ -214,40 +211,29 @@
 		return origin, FoundHere
 	}
 	holders := c.holdersToAsk(key)
-	results := make(chan findResult, len(holders))
+	answers := make(chan FindAnswer, len(holders))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, holder := range holders {
-		go func() { results <- c.ask(ctx, holder, key) }()
+		go func() { answers <- c.ask(ctx, holder, key) }()
 	}
-	outcome := NotFound
 	for range holders {
-		switch result := <-results; {
-		case result.answer.Found:
-			return result.answer.Origin, FoundAsked
-		case result.err != nil:
-			outcome = Unanswered
+		if answer := <-answers; answer.Found {
+			return answer.Origin, FoundAsked
 		}
 	}
-	return Origin{}, outcome
+	return Origin{}, NotFound
 }
 
-// findResult is the result of a question to one holder.
-type findResult struct {
-	answer FindAnswer
-	err    error
-}
-
-// ask asks one holder for a record.
-func (c *Client) ask(ctx context.Context, holder budget.Holder, stream uint64) findResult {
-	timeout := minAskTimeout
-	if c.options.ResponseTimes != nil {
-		timeout = c.options.ResponseTimes.For(holder.Process, minAskTimeout, maxAskTimeout)
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// ask asks one holder for a record. The answer is empty if the holder does not answer in time.
+func (c *Client) ask(ctx context.Context, holder budget.Holder, stream uint64) FindAnswer {
+	ctx, cancel := context.WithTimeout(ctx, c.options.ResponseTimes.For(holder.Process, minAskTimeout, maxAskTimeout))
 	defer cancel()
 	answer, err := c.options.Peers.FindStream(ctx, holder, FindRequest{Stream: stream})
-	return findResult{answer, err}
+	if err != nil {
+		return FindAnswer{}
+	}
+	return answer
 }
 
 // holdersToAsk returns the nodes that may hold the record of a stream: some of each region, since a client may come
--- a/internal/streamorigin/cluster_test.go
+++ b/internal/streamorigin/cluster_test.go
@@ -127,7 +127,7 @@
 }
 
 func (n *testNode) observe() {
-	n.versions.ObserveListed("s")
+	n.versions.RegisterListed("s")
 	n.client.VersionsChanged("s")
 }
 
--- a/internal/streamorigin/holders.go
+++ b/internal/streamorigin/holders.go
@@ -2,12 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
+	"strconv"
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 )
 
@@ -26,9 +25,10 @@
 		node  budget.Holder
 		score uint64
 	}
+	key := strconv.FormatUint(stream, 16)
 	all := make([]scored, 0, len(nodes))
 	for _, node := range nodes {
-		all = append(all, scored{node, xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(node.Address), stream))})
+		all = append(all, scored{node, id.Score(key, node.Address)})
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	ranked := make([]budget.Holder, 0, len(all))
--- a/internal/streamorigin/register.go
+++ b/internal/streamorigin/register.go
@@ -32,12 +32,16 @@
 	renewInterval = time.Minute
 )
 
-// observe registers a version of a service in the background, unless it is registered.
-func (v *Versions) observe(service, version string) {
+// RegisterListed registers the listed versions of a service in the background, unless they are registered.
+func (v *Versions) RegisterListed(service string) {
+	listed := v.options.Listed(service)
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	known := v.services[service]
-	if !v.loaded || known.invalid || v.registering[service] || slices.Contains(known.names(), version) {
+	if !v.loaded || known.invalid || v.registering[service] {
+		return
+	}
+	if _, missing := known.withListed(listed, time.Now()); !missing {
 		return
 	}
 	v.registering[service] = true
@@ -49,7 +53,8 @@
 	ctx := context.Background()
 	pauses := timing.NewBackoff(minRegisterPause, maxRegisterPause)
 	_ = timing.Sleep(ctx, rand.N(registerJitter))
-	for v.update(ctx, service, v.addListed(service)) != nil {
+	addListed := func(current row) (row, bool) { return current.withListed(v.options.Listed(service), time.Now()) }
+	for v.update(ctx, service, addListed) != nil {
 		_ = timing.Sleep(ctx, pauses.NextBackOff())
 		if v.closed.Load() {
 			break
@@ -59,29 +64,20 @@
 	delete(v.registering, service)
 	v.mutex.Unlock()
 	if !v.closed.Load() {
-		v.ObserveListed(service) // a version may have been listed after the last write
+		v.RegisterListed(service) // a version may have been listed after the last write
 	}
 }
 
-// ObserveListed registers the listed versions of a service in the background, unless they are registered.
-func (v *Versions) ObserveListed(service string) {
-	for _, version := range v.options.Listed(service) {
-		v.observe(service, version)
-	}
-}
-
-// addListed returns a change that adds the listed versions of a service to its row.
-func (v *Versions) addListed(service string) func(row) (next row, changed bool) {
-	return func(current row) (next row, changed bool) {
-		next = row{slices.Clone(current.Versions)}
-		for _, listed := range v.options.Listed(service) {
-			if !slices.Contains(current.names(), listed) {
-				next.Versions = append(next.Versions, listedVersion{Name: listed, ListedAt: time.Now().Unix()})
-				changed = true
-			}
+// withListed returns the row with the listed versions added; changed is false if it has them all.
+func (r row) withListed(listed []string, now time.Time) (next row, changed bool) {
+	next.Versions = slices.Clone(r.Versions)
+	for _, name := range listed {
+		if !slices.Contains(r.names(), name) {
+			next.Versions = append(next.Versions, listedVersion{Name: name, ListedAt: now.Unix()})
+			changed = true
 		}
-		return next, changed
 	}
+	return next, changed
 }
 
 // renewAll renews the rows whose versions this node lists, and drops versions that no node has listed for long.
