--- a/internal/httpconn/unresponsive_test.go
+++ b/internal/httpconn/unresponsive_test.go
@@ -101,11 +101,44 @@
 	require.Len(t, p.idle, count)
 }
 
-// requireTimeout sends a request that times out and returns its error.
-func requireTimeout(t *testing.T, p *Pool) error {
+// expiringContext is a context whose deadline passes when expired is closed.
+type expiringContext struct {
+	context.Context
+	expired chan struct{}
+}
+
+func (c expiringContext) Done() <-chan struct{} { return c.expired }
+
+func (c expiringContext) Err() error {
+	select {
+	case <-c.expired:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
+
+// requireTimeout sends a request whose deadline passes once the stalled peer has read it, and returns its error.
+func requireTimeout(t *testing.T, p *Pool, peer *stallingServer) error {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
-	defer cancel()
+	ctx := expiringContext{context.Background(), make(chan struct{})}
+	go func() {
+		<-peer.unanswered
+		close(ctx.expired)
+	}()
+	_, err := p.Send(ctx, get())
+	require.Error(t, err)
+	return err
+}
+
+// requireCanceled sends a request that its caller cancels once the stalled peer has read it, and returns its error.
+func requireCanceled(t *testing.T, p *Pool, peer *stallingServer, cause error) error {
+	t.Helper()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	go func() {
+		<-peer.unanswered
+		cancel(cause)
+	}()
 	_, err := p.Send(ctx, get())
 	require.Error(t, err)
 	return err
@@ -119,7 +152,7 @@
 		Guard: deadconn.Guard{OnDeadConnection: func() { givenUp++ }}})
 	fillIdle(t, p, 3)
 	peer.stall()
-	require.ErrorIs(t, requireTimeout(t, p), ErrUnresponsive)
+	require.ErrorIs(t, requireTimeout(t, p, peer), ErrUnresponsive)
 	require.Equal(t, 1, givenUp)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
@@ -134,7 +167,11 @@
 	require.NoError(t, err)
 	defer listener.Close()
 	p := NewPool(Options{Address: listener.Addr().String(), DialTimeout: time.Minute, MaxIdle: 4, IdleTimeout: time.Minute, TimeoutMeansUnresponsive: true})
-	require.NotErrorIs(t, requireTimeout(t, p), ErrUnresponsive)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	_, err = p.Send(ctx, get())
+	require.Error(t, err)
+	require.NotErrorIs(t, err, ErrUnresponsive)
 }
 
 // TestSlowPeerKeepsItsConnections: without TimeoutMeansUnresponsive a timeout, and with it a canceled caller, must
@@ -144,15 +181,11 @@
 	p := pool(peer.address)
 	fillIdle(t, p, 3)
 	peer.stall()
-	require.NotErrorIs(t, requireTimeout(t, p), ErrUnresponsive)
+	require.NotErrorIs(t, requireTimeout(t, p, peer), ErrUnresponsive)
 	require.Len(t, p.idle, 2)
 
 	p.options.TimeoutMeansUnresponsive = true
-	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(time.Millisecond, cancel)
-	_, err := p.Send(ctx, get())
-	require.Error(t, err)
-	require.NotErrorIs(t, err, ErrUnresponsive)
+	require.NotErrorIs(t, requireCanceled(t, p, peer, context.Canceled), ErrUnresponsive)
 	require.Len(t, p.idle, 1)
 }
 
@@ -173,13 +206,7 @@
 	p := pool(peer.address)
 	fillIdle(t, p, 2)
 	peer.stall()
-	ctx, cancel := context.WithCancelCause(t.Context())
-	go func() {
-		<-peer.unanswered
-		cancel(ErrUnresponsive)
-	}()
-	_, err := p.Send(ctx, get())
-	require.ErrorIs(t, err, ErrUnresponsive)
+	require.ErrorIs(t, requireCanceled(t, p, peer, ErrUnresponsive), ErrUnresponsive)
 	require.Empty(t, p.idle)
 }
 
