Streams go on only at the service that began them, also when a route is split or moves

What callers saw: a stream that is taken up at another node could go on at another service: on a route that is split between two services, each with one software version, or whose service has changed since, the node chose a service anew and found one version only.

Cause: the record of a stream was sent to other nodes only where its service has several versions, and a node without a record asked about the versions of the service that it would choose, not whether the stream can have begun at another one.

Fix: nodes know which services share a route, now or in the last minute. Their streams are recorded at other nodes, kept records are sent when a route changes, and without a record no stream goes on there. A node that has started within 10 s does not know what changed before: it learns that from another node, and until then records its streams at others and refuses those without a record (not run).

Both stream soaks now begin once the nodes know their routes; else they would always send records.

--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -36,8 +36,8 @@
 // Values of the "origin" log field and metric label besides the outcomes of StreamOrigins.Find: why a stream whose origin was not
 // found is continued or refused.
 const (
-	originSole    = "sole"    // its service has had one software version only
-	originUnknown = "unknown" // its service has had several
+	originSole    = "sole"    // its route has led to one service lately, which has had one software version only
+	originUnknown = "unknown" // there have been several
 )
 
 // resume prepares a request that resumes a stream of an earlier request: only workers of the service and the software
@@ -108,7 +108,7 @@
 	isTarget := func(target route.Target) bool { return target.Service == x.service && target.Weight > 0 }
 	switch {
 	case outcome == originUnknown:
-		return fault.New(fault.Unavailable, "several software versions may have served, and no node that answers knows which of them began this stream", startAnew).
+		return fault.New(fault.Unavailable, "several services or software versions may have served, and no node that answers knows which of them began this stream", startAnew).
 			WithRetryAfter(jitteredRetryAfter())
 	case !slices.ContainsFunc(x.route.Targets, isTarget):
 		return fault.Newf(fault.Unavailable, startAnew, "the stream began at service %q, to which its route no longer leads", x.service).
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"iter"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -69,6 +70,16 @@
 	return position - math.Floor(position)
 }
 
+// TargetServices returns the services with a positive weight.
+func (r *Route) TargetServices() (services []string) {
+	for _, target := range r.Targets {
+		if target.Weight > 0 && !slices.Contains(services, target.Service) {
+			services = append(services, target.Service)
+		}
+	}
+	return services
+}
+
 // HasResumableStreams reports whether another worker may continue an interrupted stream of the route.
 func (r *Route) HasResumableStreams() bool { return r.Kind == Streaming && r.Resumable }
 
@@ -226,6 +237,19 @@
 // ResumableServices returns the services to which routes with resumable streams lead with a positive weight.
 func (c *Configuration) ResumableServices() []string { return c.resumableServices }
 
+// ResumableRoutes returns the routes with resumable streams, in any order.
+func (c *Configuration) ResumableRoutes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, routes := range c.hosts {
+			for index := range routes {
+				if routes[index].HasResumableStreams() && !yield(&routes[index]) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // LimitsColdWorkers reports whether any service limits the request rate of cold workers.
 func (c *Configuration) LimitsColdWorkers() bool {
 	for _, service := range c.Services {
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -22,6 +22,7 @@
 			continue
 		}
 		removed, added := s.recordKeyChanges(configuration)
+		s.origins.applyConfiguration(configuration)
 		applied := s.forwarder.SetConfiguration(configuration)
 		s.verifier.recordConfiguration(row, configuration)
 		s.origins.registerListed()
--- a/internal/server/streamorigins.go
+++ b/internal/server/streamorigins.go
@@ -2,17 +2,23 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/apex/log"
 
 	"github.com/cloverwheel/cloverwheel/internal/directory"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
+	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/streamorigin"
 )
 
-// streamOrigins remembers which software versions began streams, and which versions each service has.
+// streamOrigins remembers which software versions began streams, which versions each service has, and which services share routes.
 type streamOrigins struct {
 	client   *streamorigin.Client
 	versions *streamorigin.Versions
+	services *streamorigin.SharedServices
+	logger   log.Interface
 	// resumable returns the services with streams that another worker may continue; set by attach.
 	resumable func() []string
 }
@@ -20,12 +26,12 @@
 // newStreamOrigins returns the records of a node and registers their handlers for calls of other nodes. listed returns the software
 // versions of the workers that this node lists.
 func newStreamOrigins(options Options, rows streamorigin.RowStore, peers *peers, dir *directory.Directory, listed func(service string) []string) *streamOrigins {
-	o := &streamOrigins{resumable: func() []string { return nil }}
+	o := &streamOrigins{services: streamorigin.NewSharedServices(), logger: options.Logger, resumable: func() []string { return nil }}
 	o.versions = streamorigin.NewVersions(streamorigin.VersionsOptions{
-		Feed: options.Store, Store: rows, Listed: listed, OnChange: func(service string) { o.client.VersionsChanged(service) }, OnLoad: o.registerListed, Logger: options.Logger,
+		Feed: options.Store, Store: rows, Listed: listed, OnChange: func(service string) { o.client.SendUnsent(service) }, OnLoad: o.registerListed, Logger: options.Logger,
 	})
 	o.client = streamorigin.New(streamorigin.Options{
-		Location: options.Settings.location(), Nodes: dir.Owners, Peers: peers.client, Versions: o.versions,
+		Location: options.Settings.location(), Nodes: dir.Owners, Peers: peers.client, Versions: o.versions, Services: o.services,
 		ResponseTimes: peers.client.timeout, OnSent: options.Metrics.StreamRecords,
 	})
 	peer.Handle(peers.mux, methodRecordStreams, func(_ context.Context, request streamorigin.RecordRequest) (streamorigin.RecordAnswer, error) {
@@ -66,7 +72,23 @@
 	}
 	for _, service := range o.resumable() {
 		o.versions.RegisterListed(service)
-		o.client.VersionsChanged(service)
+		o.client.SendUnsent(service)
+	}
+}
+
+// applyConfiguration takes a configuration before it is in use.
+func (o *streamOrigins) applyConfiguration(next *route.Configuration) {
+	if o == nil {
+		return
+	}
+	added := o.services.Apply(next, time.Now())
+	if len(added) == 0 {
+		return
+	}
+	o.logger.WithField("version", int64(next.Version)).WithField("services", added).
+		Info("streams of a route may begin at several services; they are recorded at other nodes")
+	for _, service := range added {
+		o.client.SendUnsent(service)
 	}
 }
 
--- a/internal/streamorigin/client.go
+++ b/internal/streamorigin/client.go
@@ -45,6 +45,7 @@
 type FindAnswer struct {
 	Found  bool
 	Origin Origin
+	Routes RouteHistory // what the holder knows of the services that share routes
 }
 
 // Peers sends messages to other nodes.
@@ -63,13 +64,14 @@
 	NotFound   Outcome = "none"  // no node that answered has the record
 )
 
-// Options configures a Client. Nodes, Peers, Versions and Location are required.
+// Options configures a Client. Nodes, Peers, Versions, Services and Location are required.
 type Options struct {
 	Location locality.Location
 	// Nodes returns the other nodes that may hold records.
 	Nodes    func() []budget.Holder
 	Peers    Peers
 	Versions *Versions
+	Services *SharedServices
 	// ResponseTimes estimates the response times of other nodes; nil: the shortest timeouts are used.
 	ResponseTimes timing.TimeoutFunc
 	// OnSent is called with the number of records that a holder got, or that none got; may be nil.
@@ -85,7 +87,7 @@
 	unsent map[string][]unsentEntry // by service, oldest first
 }
 
-// unsentEntry is a record that no other node has, since its service had one version when the stream began.
+// unsentEntry is a record that no other node has, since its stream could have one origin only when it began.
 type unsentEntry struct {
 	Entry
 	at time.Time
@@ -104,8 +106,12 @@
 	return c.options.Versions.Registered(service)
 }
 
-// SoleVersion returns the only software version at which streams of a service can have begun; ok is false if there may be several.
+// SoleVersion returns the only software version at which streams of a service can have begun; ok is false if there may be several,
+// or if streams of the service's routes can have begun at another service.
 func (c *Client) SoleVersion(ctx context.Context, service string) (version string, ok bool) {
+	if c.options.Services.MayContain(service, time.Now()) {
+		return "", false
+	}
 	return c.options.Versions.SoleVersion(ctx, service)
 }
 
@@ -114,23 +120,29 @@
 	now := time.Now()
 	entry := Entry{Stream: hash(stream), Origin: origin}
 	c.records.put(entry.Stream, origin, now)
-	if !c.options.Versions.Several(origin.Service) {
+	if !c.severalOrigins(origin.Service, now) {
 		c.keepUnsent(entry, now)
 		return
 	}
 	go c.send(append(c.takeUnsent(origin.Service, now), entry))
 }
 
-// VersionsChanged sends the records of a service that were not sent if it has several versions now.
-func (c *Client) VersionsChanged(service string) {
-	if !c.options.Versions.Several(service) {
+// SendUnsent sends the records of a service that were not sent, if its streams may have several origins now.
+func (c *Client) SendUnsent(service string) {
+	now := time.Now()
+	if !c.severalOrigins(service, now) {
 		return
 	}
-	if entries := c.takeUnsent(service, time.Now()); len(entries) > 0 {
+	if entries := c.takeUnsent(service, now); len(entries) > 0 {
 		go c.send(entries)
 	}
 }
 
+// severalOrigins reports whether other nodes may need records to know at which service and version a service's streams began.
+func (c *Client) severalOrigins(service string, now time.Time) bool {
+	return c.options.Versions.Several(service) || c.options.Services.MayContain(service, now)
+}
+
 func (c *Client) keepUnsent(entry Entry, now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -218,9 +230,11 @@
 		go func() { answers <- c.ask(ctx, holder, key) }()
 	}
 	for range holders {
-		if answer := <-answers; answer.Found {
+		answer := <-answers
+		if answer.Found {
 			return answer.Origin, FoundAsked
 		}
+		c.options.Services.Learn(answer.Routes, time.Now())
 	}
 	return Origin{}, NotFound
 }
@@ -257,6 +271,7 @@
 
 // HandleFind answers the question of another node.
 func (c *Client) HandleFind(request FindRequest) FindAnswer {
-	origin, ok := c.records.get(request.Stream, time.Now())
-	return FindAnswer{Found: ok, Origin: origin}
+	now := time.Now()
+	origin, ok := c.records.get(request.Stream, now)
+	return FindAnswer{Found: ok, Origin: origin, Routes: c.options.Services.History(now)}
 }
--- a/internal/streamorigin/cluster_test.go
+++ b/internal/streamorigin/cluster_test.go
@@ -95,10 +95,10 @@
 	n := &testNode{cluster: c, holder: holder, listed: listed}
 	n.versions = NewVersions(VersionsOptions{
 		Feed: c.table, Store: c, Listed: n.list, Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
-		OnChange: func(service string) { n.client.VersionsChanged(service) },
+		OnChange: func(service string) { n.client.SendUnsent(service) },
 		OnLoad:   func() { n.observe() },
 	})
-	n.client = New(Options{Nodes: n.others, Peers: n, Versions: n.versions})
+	n.client = New(Options{Nodes: n.others, Peers: n, Versions: n.versions, Services: settledServices(time.Now())})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	c.nodes = append(c.nodes, n)
@@ -128,7 +128,7 @@
 
 func (n *testNode) observe() {
 	n.versions.RegisterListed("s")
-	n.client.VersionsChanged("s")
+	n.client.SendUnsent("s")
 }
 
 func (n *testNode) others() (others []budget.Holder) {
