--- a/internal/server/streamorigins.go
+++ b/internal/server/streamorigins.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// registerListed registers the software versions that this node lists of services with resumable streams, in the background. Streams
-// begin only at registered versions.
+// registerListed registers the software versions that this node lists of services with resumable streams, in the background, and sends
+// the records that other nodes need since the versions or the routes have changed. Streams begin only at registered versions.
 func (o *streamOrigins) registerListed() {
 	if o == nil {
 		return
@@ -76,19 +76,15 @@
 	}
 }
 
-// applyConfiguration takes a configuration before it is in use.
+// applyConfiguration takes a configuration before it is in use. Once it is, registerListed sends the records that other nodes
+// need because of it.
 func (o *streamOrigins) applyConfiguration(next *route.Configuration) {
 	if o == nil {
 		return
 	}
-	added := o.services.Apply(next, time.Now())
-	if len(added) == 0 {
-		return
-	}
-	o.logger.WithField("version", int64(next.Version)).WithField("services", added).
-		Info("streams of a route may begin at several services; they are recorded at other nodes")
-	for _, service := range added {
-		o.client.SendUnsent(service)
+	if added := o.services.Apply(next, time.Now()); len(added) > 0 {
+		o.logger.WithField("version", int64(next.Version)).WithField("services", added).
+			Info("streams of a route may begin at several services; they are recorded at other nodes")
 	}
 }
 
