streamorigin: a configuration with many routes is compared by place, not by searching all routes for each

Only routes that one of the two configurations lacks are still searched for. Same results: the tests of shared services pass unchanged.

--- a/internal/streamorigin/shared.go
+++ b/internal/streamorigin/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -132,22 +133,41 @@
 	if previous == nil {
 		return nil
 	}
-	compare := func(from, to *route.Configuration) {
-		for one := range from.ResumableRoutes() {
-			other := to.Match(one.Host, one.PathPrefix)
-			if other == nil || !other.HasResumableStreams() {
-				continue
-			}
-			if all := appendMissing(one.TargetServices(), other.TargetServices()); len(all) > 1 {
-				services = appendMissing(services, all)
-			}
+	return appendMissing(servicesThatDiffer(previous, next), servicesThatDiffer(next, previous))
+}
+
+// servicesThatDiffer compares the services of each route of a configuration with those that the other one has for its host and path.
+func servicesThatDiffer(from, to *route.Configuration) (services []string) {
+	same := routesByPlace(to)
+	for one := range from.ResumableRoutes() {
+		other, found := same[placeOf(one)]
+		if !found {
+			other = to.Match(one.Host, one.PathPrefix)
+		}
+		if other == nil || !other.HasResumableStreams() {
+			continue
+		}
+		if all := appendMissing(one.TargetServices(), other.TargetServices()); len(all) > 1 {
+			services = appendMissing(services, all)
 		}
 	}
-	compare(previous, next)
-	compare(next, previous)
 	return services
 }
 
+// place is the host and path prefix of a route.
+type place struct{ host, prefix string }
+
+func placeOf(one *route.Route) place { return place{strings.ToLower(one.Host), one.PathPrefix} }
+
+// routesByPlace spares a search through all routes for each one that both configurations have.
+func routesByPlace(configuration *route.Configuration) map[place]*route.Route {
+	routes := map[place]*route.Route{}
+	for one := range configuration.ResumableRoutes() {
+		routes[placeOf(one)] = one
+	}
+	return routes
+}
+
 // appendMissing appends the names that are not in a list.
 func appendMissing(names, more []string) []string {
 	for _, name := range more {
