--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -30,16 +30,11 @@
 		return refusal
 	}
 	for x.sends < maxSends {
-		worker, refusal := x.chooseWorker(ctx)
-		if refusal != nil {
-			return refusal
-		}
-		cleared, refusal := x.clear(ctx, worker)
+		worker, cleared, refusal := x.nextWorker(ctx)
 		if refusal != nil {
 			return refusal
 		}
 		if !cleared {
-			x.releaseSlot()
 			continue
 		}
 		done, refusal := x.tryPlain(ctx, worker)
--- a/internal/forward/presend.go
+++ b/internal/forward/presend.go
@@ -56,6 +56,20 @@
 	healthRoundTrips = 2
 )
 
+// nextWorker chooses a worker and decides whether the request may be sent to it. If cleared is false and there is no refusal,
+// another worker must be chosen. A refusal is final.
+func (x *exchange) nextWorker(ctx context.Context) (worker *backend.Worker, cleared bool, refusal *fault.Error) {
+	worker, refusal = x.chooseWorker(ctx)
+	if refusal != nil {
+		return nil, false, refusal
+	}
+	cleared, refusal = x.clear(ctx, worker)
+	if refusal == nil && !cleared {
+		x.releaseSlot()
+	}
+	return worker, cleared, refusal
+}
+
 // clear decides whether the request may still be sent to the chosen worker. It runs just before
 // each send, because any time may have passed since the choice, and a paused node may lack
 // recent updates. If cleared is false and there is no refusal, another worker must be chosen. A refusal
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,16 +43,11 @@
 func (x *exchange) serveStream(ctx context.Context, perEvent int) *fault.Error {
 	x.clock.enter(stepPlace, time.Now())
 	for x.sends < maxSends {
-		worker, refusal := x.chooseWorker(ctx)
-		if refusal != nil {
-			return refusal
-		}
-		cleared, refusal := x.clear(ctx, worker)
+		worker, cleared, refusal := x.nextWorker(ctx)
 		if refusal != nil {
 			return refusal
 		}
 		if !cleared {
-			x.releaseSlot()
 			continue
 		}
 		done, refusal := x.tryStream(ctx, worker, perEvent)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -117,20 +117,38 @@
 	return s.options.Keys.accepts(firstValue(r.Header, headerKey))
 }
 
-func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
-	release, ok := s.admit(w, &s.calls, s.options.MaxCalls)
+// acceptedRequest is a request of another node that was admitted and read.
+type acceptedRequest struct {
+	ctx    context.Context // ends with the time that the caller or this node allows
+	method string
+	body   []byte
+}
+
+// serveAccepted runs a handler for a request, unless the limit on those in progress is reached or the request is invalid. longest
+// limits the handler's time.
+func (s *Server) serveAccepted(w http.ResponseWriter, r *http.Request, active *atomic.Int64, limit int, longest time.Duration, handle func(acceptedRequest)) {
+	release, ok := s.admit(w, active, limit)
 	if !ok {
 		return
 	}
 	defer release()
-	request, ok := s.readRequest(w, r)
+	body, ok := s.readRequest(w, r)
 	if !ok {
 		return
 	}
-	method := mux.Vars(r)["method"]
-	ctx, cancel := context.WithTimeout(r.Context(), timeLeft(r, s.options.MaxCallDuration))
+	ctx, cancel := context.WithTimeout(r.Context(), timeLeft(r, longest))
 	defer cancel()
-	answer, err := s.runCall(ctx, method, request)
+	handle(acceptedRequest{ctx: ctx, method: mux.Vars(r)["method"], body: body})
+}
+
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	s.serveAccepted(w, r, &s.calls, s.options.MaxCalls, s.options.MaxCallDuration, func(request acceptedRequest) { s.answerCall(w, r, request) })
+}
+
+// answerCall runs a call and writes its answer.
+func (s *Server) answerCall(w http.ResponseWriter, r *http.Request, request acceptedRequest) {
+	method := request.method
+	answer, err := s.runCall(request.ctx, method, request.body)
 	s.metrics.done(s.methodLabel(method), err)
 	if err != nil {
 		writeFault(w, http.StatusUnprocessableEntity, fault.From(err))
@@ -154,20 +172,14 @@
 }
 
 func (s *Server) serveStream(w http.ResponseWriter, r *http.Request) {
-	release, ok := s.admit(w, &s.streams, s.options.MaxStreams)
-	if !ok {
-		return
-	}
-	defer release()
-	request, ok := s.readRequest(w, r)
-	if !ok {
-		return
-	}
-	method := mux.Vars(r)["method"]
-	ctx, cancel := context.WithTimeout(r.Context(), timeLeft(r, s.options.MaxStreamDuration))
-	defer cancel()
+	s.serveAccepted(w, r, &s.streams, s.options.MaxStreams, s.options.MaxStreamDuration, func(request acceptedRequest) { s.answerStream(w, request) })
+}
+
+// answerStream runs a stream's handler and writes its items.
+func (s *Server) answerStream(w http.ResponseWriter, request acceptedRequest) {
+	method := request.method
 	stream := newItemWriter(w, s.options.MaxItem)
-	err := s.runStream(ctx, method, request, stream.send)
+	err := s.runStream(request.ctx, method, request.body, stream.send)
 	s.metrics.done(s.methodLabel(method), err)
 	s.metrics.sent.WithLabelValues(s.methodLabel(method)).Add(float64(stream.sent))
 	stream.finish(err)
