Stream origins: a line when a node learns which services share routes; names and comments read once more

Observability only: a node that takes an answer for what it did not know since its start changes a belief, and said nothing. No decision changed.

--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -23,7 +23,7 @@
 	// Registered returns the software versions of a service at which streams may begin; restricted is false if all may.
 	Registered(service string) (versions []string, restricted bool)
 	// SoleVersion returns the only software version at which streams of a service can have begun; ok is false if there
-	// may be several. It reads the store.
+	// may be several, or if streams of the service's routes can have begun at another service. It reads the store.
 	SoleVersion(ctx context.Context, service string) (version string, ok bool)
 }
 
--- a/internal/server/streamorigins.go
+++ b/internal/server/streamorigins.go
@@ -33,6 +33,7 @@
 	o.client = streamorigin.New(streamorigin.Options{
 		Location: options.Settings.location(), Nodes: dir.Owners, Peers: peers.client, Versions: o.versions, Services: o.services,
 		ResponseTimes: peers.client.timeout, OnSent: options.Metrics.StreamRecords,
+		OnLearned: o.logLearned,
 	})
 	peer.Handle(peers.mux, methodRecordStreams, func(_ context.Context, request streamorigin.RecordRequest) (streamorigin.RecordAnswer, error) {
 		return o.client.HandleRecord(request), nil
@@ -88,5 +89,11 @@
 	}
 }
 
+// logLearned logs what another node told of the services that share routes.
+func (o *streamOrigins) logLearned(history streamorigin.RouteHistory) {
+	o.logger.WithField("version", int64(history.Version)).WithField("services", history.Shared).
+		Info("learned from another node which services share routes; streams of the other services may be resumed without a record")
+}
+
 // loaded reports whether the registered versions are known. Without peers there are none.
 func (o *streamOrigins) loaded() bool { return o == nil || o.versions.Loaded() }
--- a/internal/streamorigin/client.go
+++ b/internal/streamorigin/client.go
@@ -76,6 +76,8 @@
 	ResponseTimes timing.TimeoutFunc
 	// OnSent is called with the number of records that a holder got, or that none got; may be nil.
 	OnSent func(sent, lost int)
+	// OnLearned is called when another node's answer told which services share routes; may be nil.
+	OnLearned func(RouteHistory)
 }
 
 // Client records and finds the origins of streams, for this node and as a holder for others.
@@ -98,6 +100,9 @@
 	if options.OnSent == nil {
 		options.OnSent = func(int, int) {}
 	}
+	if options.OnLearned == nil {
+		options.OnLearned = func(RouteHistory) {}
+	}
 	return &Client{options: options, records: newRecords(time.Now()), unsent: map[string][]unsentEntry{}}
 }
 
@@ -234,7 +239,9 @@
 		if answer.Found {
 			return answer.Origin, FoundAsked
 		}
-		c.options.Services.Learn(answer.Routes, time.Now())
+		if c.options.Services.Learn(answer.Routes, time.Now()) {
+			c.options.OnLearned(answer.Routes)
+		}
 	}
 	return Origin{}, NotFound
 }
--- a/internal/streamorigin/shared.go
+++ b/internal/streamorigin/shared.go
@@ -81,15 +81,15 @@
 }
 
 // Learn takes what another node knows, if that covers the changes of routes before this node's first configuration or after
-// its current one.
-func (s *SharedServices) Learn(history RouteHistory, now time.Time) {
+// its current one, and reports whether it does.
+func (s *SharedServices) Learn(history RouteHistory, now time.Time) (learned bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.configuration == nil || history.Version < s.configuration.Version {
-		return
+		return false
 	}
 	if s.settled(now) && history.Version == s.configuration.Version {
-		return // it covers the same changes
+		return false // it covers the same changes
 	}
 	for _, service := range history.Shared {
 		s.until[service] = now.Add(sharedTTL)
@@ -97,6 +97,7 @@
 	if !s.settled(now) {
 		s.settledAt = now
 	}
+	return true
 }
 
 // settled reports whether the node knows which routes changed lately. The caller holds the mutex.
@@ -128,7 +129,8 @@
 	return services
 }
 
-// changedServices returns the services of requests that have led to other ones since the previous configuration, with these.
+// changedServices returns the services of those requests whose services differ between two configurations, the earlier and the
+// later ones.
 func changedServices(previous, next *route.Configuration) (services []string) {
 	if previous == nil {
 		return nil
@@ -138,9 +140,9 @@
 
 // servicesThatDiffer compares the services of each route of a configuration with those that the other one has for its host and path.
 func servicesThatDiffer(from, to *route.Configuration) (services []string) {
-	same := routesByPlace(to)
+	sameKey := resumableByKey(to)
 	for one := range from.ResumableRoutes() {
-		other, found := same[placeOf(one)]
+		other, found := sameKey[keyOfRoute(one)]
 		if !found {
 			other = to.Match(one.Host, one.PathPrefix)
 		}
@@ -154,16 +156,18 @@
 	return services
 }
 
-// place is the host and path prefix of a route.
-type place struct{ host, prefix string }
+// routeKey identifies a route in a configuration.
+type routeKey struct{ host, pathPrefix string }
 
-func placeOf(one *route.Route) place { return place{strings.ToLower(one.Host), one.PathPrefix} }
+func keyOfRoute(one *route.Route) routeKey {
+	return routeKey{strings.ToLower(one.Host), one.PathPrefix}
+}
 
-// routesByPlace spares a search through all routes for each one that both configurations have.
-func routesByPlace(configuration *route.Configuration) map[place]*route.Route {
-	routes := map[place]*route.Route{}
+// resumableByKey returns the routes with resumable streams by their keys, since a search by Match goes through all routes of a host.
+func resumableByKey(configuration *route.Configuration) map[routeKey]*route.Route {
+	routes := map[routeKey]*route.Route{}
 	for one := range configuration.ResumableRoutes() {
-		routes[placeOf(one)] = one
+		routes[keyOfRoute(one)] = one
 	}
 	return routes
 }
