forward: a send that was given up still counts when its worker's process restarted under the same ID

What callers saw: a resumable turn ran at two live workers though its route allows one. Traced by the log lines of both requests: the second send, under the entry of the killed process, reached the new one; the node found it silent and unreachable, gave it up, and when the new entry came took the old process's end for the end of both sends, so a second worker got the request while the first ran it.

Cause: the end of a process was taken for the end of every send under its entry. It proves that only for sends whose connection the worker closed. Now a worker with a send that this node gave up keeps counting. TestSilentWorkerThatRestartedStillCounts failed before (2 of 2 cases). Workers of the association's platform get a new ID with each start, so nothing changes there: an entry is never replaced.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -25,6 +25,9 @@
 	counted []string // those of all that are not known to have ended
 	dropped []string // the rest of all, each as worker:observation, for the log
 	broken  []string // workers that closed or reset the connection before the answer was complete
+	// abandoned are workers whose connection this node closed before the answer was complete. Such a request may have
+	// reached a later process at the same address.
+	abandoned []string
 }
 
 // any reports whether some worker may have run the request.
@@ -40,14 +43,23 @@
 	}
 }
 
-// recordBreak records that the connection to a worker broke before the answer was complete, if
+// recordBreak records that the connection to a worker broke before the answer was complete, and whether
 // the worker closed it.
 func (a *attempts) recordBreak(worker string, err error) {
 	if httpconn.ClosedByPeer(err) {
 		a.broken = append(a.broken, worker)
+		return
 	}
+	a.recordAbandoned(worker)
 }
 
+// recordAbandoned records that this node closed the connection to a worker before the answer was complete.
+func (a *attempts) recordAbandoned(worker string) { a.abandoned = append(a.abandoned, worker) }
+
+// endedWithProcess reports whether a request that a worker may have run has ended if the worker's process has: the worker
+// closed the connection of each send to it.
+func (a *attempts) endedWithProcess(worker string) bool { return !slices.Contains(a.abandoned, worker) }
+
 // processEnded reports whether a worker that may have run the request is known to have ended,
 // given the error of a later connection to it. The worker must have closed the request's own
 // connection, and its address must now refuse connections. Either alone is not enough: a worker
@@ -71,10 +83,10 @@
 
 // dropRestarted stops counting the workers whose process has been replaced by a new one under the
 // same ID: the old process has ended. An answer of the new process does not show whether
-// the old one ran the request.
+// the old one ran the request. A send that this node gave up may have reached the new process, so its worker still counts.
 func (x *exchange) dropRestarted() {
 	for _, worker := range x.attempted {
-		if slices.Contains(x.attempts.counted, worker.Key()) && worker.Replaced() {
+		if slices.Contains(x.attempts.counted, worker.Key()) && worker.Replaced() && x.attempts.endedWithProcess(worker.Key()) {
 			x.dropAttempt(worker, observedRestarted)
 		}
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -210,8 +210,10 @@
 	deadConnection := errors.Is(cause, errDeadConnection)
 	switch {
 	case deadConnection: // the worker itself may be healthy
+		x.attempts.recordAbandoned(id)
 	case errors.Is(cause, errUnreachable): // the worker may still run the request
 		worker.RecordUnreachable(time.Now())
+		x.attempts.recordAbandoned(id)
 		x.exclude(id)
 	default:
 		worker.RecordFailure(time.Now())
--- a/internal/forward/restart_test.go
+++ b/internal/forward/restart_test.go
@@ -72,6 +72,30 @@
 	}
 }
 
+// TestSilentWorkerThatRestartedStillCounts guards against a second worker for a request that the restarted process of the first one
+// runs: the send, under the entry of the earlier process, may have reached the new one.
+func TestSilentWorkerThatRestartedStillCounts(t *testing.T) {
+	for name, one := range map[string]route.Route{"a stream": turnRoute(resumable), "a safe request": plainRoute(route.Safe, 1)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, one)
+				f.startProcess(1, 1)
+				f.scripts["w0"] = func(ctx context.Context, call Call) (*Answer, error) {
+					if len(f.sent()) == 1 {
+						f.startProcess(2, 2)
+						f.workers.Put(backend.Record{ID: "w0", StartedAt: time.UnixMilli(2000), Service: "s", Address: "w0", Zone: "z", Slots: 4, Revision: 3, Draining: true})
+						f.worker("w1", streams(3, 0))
+					}
+					return hangs(ctx, call)
+				}
+				got := f.serve(t.Context(), nil)
+				require.Equal(t, []string{"w0"}, f.triedWorkers())
+				require.Equal(t, fault.RanUnknown, got.refusal.Ran)
+			})
+		})
+	}
+}
+
 // Guards against reporting a request as not run because the restarted worker declined it: the old
 // process may have run it.
 func TestDeclineByARestartedWorkerLeavesRunUnknown(t *testing.T) {
