Log the content and the program of requests whose worker failed or ended

A client's next try of a request has another ID and usually another node, so nothing in the logs told that tries are of the same work, nor whether the workers that ended had it in common. The lines "worker failed" and "worker no longer counts" now carry content=, a hash of the work that does not change between tries.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -118,7 +118,7 @@
 		"observed":     observed,
 		"counted":      strings.Join(x.attempts.counted, ","),
 		"max_attempts": x.route.MaxAttempts,
-	}).Warn("worker no longer counts as one that may have run the request")
+	}).WithFields(x.workFields()).Warn("worker no longer counts as one that may have run the request")
 }
 
 // logResend logs that a request that may have run is sent again, with the attempts that allow it.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/eligibility"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/scheduling"
 	"github.com/cloverwheel/cloverwheel/internal/tenant"
@@ -134,6 +135,7 @@
 	attempts         attempts                  // workers that may have run the request
 	attempted        []*backend.Worker         // those workers, for restart checks
 	prefixWorkers    []string                  // IDs of workers that cache the prompt's shared prefix
+	workKeys         *quarantine.Keys          // nil: not computed yet
 	sends            int                       // number of sends so far
 	sendFailures     []string                  // outcome of each send that failed or was not made, for the log
 	declines         int                       // number of sends that workers declined or had no connection for
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -178,7 +178,7 @@
 		"address": record.Address,
 		"send":    x.sends,
 		"events":  x.events,
-	})
+	}).WithFields(x.workFields())
 	if cause != nil && cause != context.Canceled {
 		entry = entry.WithField("cause", cause.Error())
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -34,6 +34,7 @@
 	MaxOutputTokens int           // maximum number of tokens that this turn generates
 	PromptTokens    int           // number of tokens of its prompt
 	SharedTokens    int           // of these, tokens in the prefix shared with other programs
+	Prompt          string        // names and sizes of the prompt's parts, as received; empty: unknown
 	// SharedPrefix names the shared prefix; empty: there is none.
 	SharedPrefix string
 	// TimeToFinish is the time left until the program must be complete; 0 if that time has
