--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,14 +57,15 @@
 	mutex     sync.Mutex
 	scripts   map[string]script
 	calls     []sent
-	reachable bool  // workers accept connections
-	missEvery int   // every n-th connection fails all the same; 0: none
-	dialError error // error of failed connections; nil: an unspecific one
-	dials     int   // test connections opened by the watchdog
+	reachable bool            // workers accept connections
+	ended     map[string]bool // workers whose process has ended: their addresses refuse connections
+	missEvery int             // every n-th connection fails all the same; 0: none
+	dialError error           // error of failed connections; nil: an unspecific one
+	dials     int             // test connections opened by the watchdog
 }
 
 func newFixture(t *testing.T, routes ...route.Route) *fixture {
-	f := &fixture{t: t, table: storetest.New(), scripts: map[string]script{}, tracker: evacuation.New(nil)}
+	f := &fixture{t: t, table: storetest.New(), scripts: map[string]script{}, ended: map[string]bool{}, tracker: evacuation.New(nil)}
 	f.workers = backend.NewRegistry(backend.Options{Zone: "z", Dial: f.dial, Zones: testPlaces, Evacuated: f.tracker.Evacuated})
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	table := store.Store(f.table)
@@ -82,11 +84,14 @@
 	return f
 }
 
-func (f *fixture) dial(context.Context, string) (net.Conn, error) {
+func (f *fixture) dial(_ context.Context, address string) (net.Conn, error) {
 	f.mutex.Lock()
 	f.dials++
-	dials := f.dials
+	dials, ended := f.dials, f.ended[address]
 	f.mutex.Unlock()
+	if ended {
+		return nil, syscall.ECONNREFUSED
+	}
 	if !f.reachable || f.missEvery > 0 && dials%f.missEvery == 0 {
 		return nil, cmp.Or(f.dialError, errors.New("no connections in this test"))
 	}
@@ -117,8 +122,11 @@
 	id := worker.Record().ID
 	f.mutex.Lock()
 	f.calls = append(f.calls, sent{worker: id, resume: call.LastEventID, body: string(call.Body), tenant: call.Tenant, left: call.TimeLeft})
-	does := f.scripts[id]
+	does, ended := f.scripts[id], f.ended[id]
 	f.mutex.Unlock()
+	if ended {
+		return nil, errors.Join(httpconn.ErrNotWritten, syscall.ECONNREFUSED)
+	}
 	return does(ctx, call)
 }
 
@@ -216,6 +224,16 @@
 // resets is a worker whose connection breaks after the call was written.
 func resets(context.Context, Call) (*Answer, error) { return nil, errReset }
 
+// ends is a worker whose process ends when it gets a call.
+func (f *fixture) ends(id string) script {
+	return func(context.Context, Call) (*Answer, error) {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.ended[id] = true
+		return nil, io.ErrUnexpectedEOF
+	}
+}
+
 // refusesConnections is a worker that accepts no connections.
 func refusesConnections(context.Context, Call) (*Answer, error) {
 	return nil, errors.Join(httpconn.ErrNotWritten, errReset)
