--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -36,6 +36,8 @@
 	StaleConfiguration Code = "stale_configuration"
 	ZoneEvacuated      Code = "zone_evacuated"
 	OutsideRegions     Code = "outside_regions"
+	// WorkQuarantined: workers ended while they ran the request's work. It is sent to none again, whatever its Ran says.
+	WorkQuarantined Code = "work_quarantined"
 	// NotLeader is internal: the receiving node is not the leader of the shard.
 	NotLeader Code = "not_leader"
 	// Fenced is internal: the request is from an epoch or term that a newer one has replaced.
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -109,6 +109,7 @@
 func (x *exchange) dropAttempt(worker *backend.Worker, observed string) {
 	id := worker.Key()
 	x.attempts.drop(id, observed)
+	x.recordEnd(worker, observed)
 	x.options.Metrics.AttemptsDropped.WithLabelValues(observed).Inc()
 	x.options.Logger.WithFields(log.Fields{
 		"request":      x.request.ID,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,8 @@
 	// Origins remembers which software version began each stream; nil: streams of earlier requests are continued only
 	// while the listed workers of their service all run one version.
 	Origins StreamOrigins
+	// Quarantine remembers under which work workers ended; nil: this forwarder remembers it for itself.
+	Quarantine *quarantine.Tracker
 	// Prober queries workers' health when there is no other information on whether they are warm;
 	// nil: they are not queried.
 	Prober Prober
@@ -76,7 +78,12 @@
 
 // New returns a forwarder without a configuration. It refuses requests until SetConfiguration is
 // called.
-func New(options Options) *Forwarder { return &Forwarder{options: options} }
+func New(options Options) *Forwarder {
+	if options.Quarantine == nil {
+		options.Quarantine = quarantine.NewTracker()
+	}
+	return &Forwarder{options: options}
+}
 
 // Configuration returns the current configuration; nil if there is none yet.
 func (f *Forwarder) Configuration() *route.Configuration { return f.configuration.Load() }
@@ -130,36 +137,40 @@
 	out              Responder
 	startTime        time.Time
 	clock            stepClock
-	clientCtx        context.Context           // ends when the client disconnects
-	excluded         []string                  // keys of workers that must not be chosen
-	attempts         attempts                  // workers that may have run the request
-	attempted        []*backend.Worker         // those workers, for restart checks
-	prefixWorkers    []string                  // IDs of workers that cache the prompt's shared prefix
-	workKeys         *quarantine.Keys          // nil: not computed yet
-	sends            int                       // number of sends so far
-	sendFailures     []string                  // outcome of each send that failed or was not made, for the log
-	declines         int                       // number of sends that workers declined or had no connection for
-	slot             *capacity.Reservation     // capacity held at a worker; nil: none
-	placement        capacity.Placement        // result of the last capacity request
-	capacityWait     time.Duration             // total time spent in capacity requests
-	coldAttempts     int                       // permissions requested for cold workers since the exclusions were last reset
-	coldRetryAfter   time.Duration             // until a cold worker may take a request; 0: none was refused
-	lastWorker       string                    // key of the worker last sent to
-	crossRegion      backend.CrossRegionReason // why that worker is in another region; empty: it is not
-	events           int                       // number of events relayed
-	versions         eligibility.Versions      // software versions that may serve the request
-	version          *string                   // the only one of them, which began the stream; nil: the stream has not begun
-	relayedBy        string                    // key of the worker whose event was relayed last; empty: none was
-	budgetDrawn      bool                      // this node had to draw tokens for the turn
-	budgetHandedOver bool                      // another node handed tokens over
-	budgetLocated    bool                      // the directory named the nodes to ask for tokens
-	budgetGranted    bool                      // the owner of a directory slot granted tokens
-	historyFromPeer  bool                      // another node returned the conversation history
-	headSent         bool                      // the head of a stream or long answer was sent
-	answered         bool                      // the client has its final answer
-	lastEventID      string                    // ID of the last event that the client has
-	output           []byte                    // the turn's output so far, to be stored
-	program          programState              // state of the program that the turn belongs to
+	clientCtx        context.Context                // ends when the client disconnects
+	excluded         []string                       // keys of workers that must not be chosen
+	attempts         attempts                       // workers that may have run the request
+	attempted        []*backend.Worker              // those workers, for restart checks
+	prefixWorkers    []string                       // IDs of workers that cache the prompt's shared prefix
+	workKeys         *quarantine.Keys               // nil: not computed yet
+	evidence         quarantine.Evidence            // of ends under the work, as of the last check before a send
+	seen             map[string]quarantine.Evidence // evidence at the send to each worker, by its key; zero values are left out
+	plannedEnds      []string                       // keys of workers that were leaving when they closed the request's connection
+	ended            int                            // workers that ended while they ran the request
+	sends            int                            // number of sends so far
+	sendFailures     []string                       // outcome of each send that failed or was not made, for the log
+	declines         int                            // number of sends that workers declined or had no connection for
+	slot             *capacity.Reservation          // capacity held at a worker; nil: none
+	placement        capacity.Placement             // result of the last capacity request
+	capacityWait     time.Duration                  // total time spent in capacity requests
+	coldAttempts     int                            // permissions requested for cold workers since the exclusions were last reset
+	coldRetryAfter   time.Duration                  // until a cold worker may take a request; 0: none was refused
+	lastWorker       string                         // key of the worker last sent to
+	crossRegion      backend.CrossRegionReason      // why that worker is in another region; empty: it is not
+	events           int                            // number of events relayed
+	versions         eligibility.Versions           // software versions that may serve the request
+	version          *string                        // the only one of them, which began the stream; nil: the stream has not begun
+	relayedBy        string                         // key of the worker whose event was relayed last; empty: none was
+	budgetDrawn      bool                           // this node had to draw tokens for the turn
+	budgetHandedOver bool                           // another node handed tokens over
+	budgetLocated    bool                           // the directory named the nodes to ask for tokens
+	budgetGranted    bool                           // the owner of a directory slot granted tokens
+	historyFromPeer  bool                           // another node returned the conversation history
+	headSent         bool                           // the head of a stream or long answer was sent
+	answered         bool                           // the client has its final answer
+	lastEventID      string                         // ID of the last event that the client has
+	output           []byte                         // the turn's output so far, to be stored
+	program          programState                   // state of the program that the turn belongs to
 }
 
 // Serve answers a request through out, exactly once. ctx must end when the client disconnects.
@@ -170,6 +181,7 @@
 	refusal := x.serve(ctx)
 	x.releaseSlot()
 	x.returnToLimit()
+	x.awaitEndsShared()
 	switch {
 	case refusal == nil || x.answered:
 	case x.headSent:
@@ -205,6 +217,9 @@
 	if refusal := x.checkRouteOpen(); refusal != nil {
 		return refusal
 	}
+	if refusal := x.checkQuarantine(); refusal != nil {
+		return refusal
+	}
 	if x.route.Kind != route.Streaming {
 		return x.servePlain(ctx)
 	}
@@ -230,10 +245,23 @@
 	for {
 		x.dropRestarted()
 		x.restrictVersions()
+		if refusal := x.checkQuarantine(); refusal != nil {
+			return nil, refusal
+		}
 		var only []string
 		if !x.mayRunElsewhere() {
 			only = x.attempts.counted
 		}
+		if len(only) == 0 {
+			worker, refusal := x.chooseForSuspect()
+			if refusal != nil {
+				return nil, refusal
+			}
+			if worker != nil {
+				x.takeSlot(worker)
+				return worker, nil
+			}
+		}
 		if worker, ok := x.options.Workers.TakeTrial(x.placementQuery(only)); ok {
 			x.takeSlot(worker)
 			return worker, nil
@@ -342,6 +370,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		call.TimeLeft = time.Until(deadline)
 	}
+	x.recordSeen(worker)
 	x.logResend(worker, call.TimeLeft)
 	x.logContinued(worker)
 	return x.options.Transport.Send(ctx, worker, call)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -81,7 +81,7 @@
 	x.recordAttempt(worker)
 	release, buffered := x.reserveBuffer(answer)
 	if !buffered {
-		return true, x.relayAnswer(answer, nil)
+		return true, x.relayAnswer(ctx, worker, answer, nil)
 	}
 	defer release()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswer+1))
@@ -89,9 +89,10 @@
 		return x.handleFailure(ctx, limited, worker, err)
 	}
 	if len(body) > maxBufferedAnswer {
-		return true, x.relayAnswer(answer, body)
+		return true, x.relayAnswer(ctx, worker, answer, body)
 	}
 	answer.Close(true)
+	x.recordHarmless()
 	if answer.Status >= http.StatusInternalServerError {
 		worker.RecordFailure(time.Now())
 		x.recordSendFailure(worker, strconv.Itoa(answer.Status))
@@ -133,7 +134,7 @@
 }
 
 // relayAnswer relays an answer that is not buffered. prefix is what was already read of it.
-func (x *exchange) relayAnswer(answer *Answer, prefix []byte) *fault.Error {
+func (x *exchange) relayAnswer(ctx context.Context, worker *backend.Worker, answer *Answer, prefix []byte) *fault.Error {
 	x.headSent = true
 	if err := x.out.WriteHead(answer.Status, answer.Header, answer.Length); err != nil {
 		return x.endedError(x.clientCtx)
@@ -150,10 +151,13 @@
 		piece = buffer[:count]
 		if errors.Is(err, io.EOF) && count == 0 {
 			answer.Close(true)
+			x.recordHarmless()
 			x.out.End()
 			return nil
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
+			x.attempts.recordBreak(worker.Key(), err)
+			x.checkEnded(ctx, worker, err)
 			return x.exhaustedError()
 		}
 	}
@@ -218,6 +222,7 @@
 	default:
 		worker.RecordFailure(time.Now())
 		x.attempts.recordBreak(id, err)
+		x.checkEnded(ctx, worker, err)
 	}
 	if !x.route.Repeatable() {
 		return true, fault.New(fault.EngineFailed, "the connection to the worker broke", "check whether the request took effect before sending it again").WithRan(fault.RanUnknown)
--- a/internal/forward/presend.go
+++ b/internal/forward/presend.go
@@ -64,6 +64,9 @@
 		return nil, false, refusal
 	}
 	cleared, refusal = x.clear(ctx, worker)
+	if cleared {
+		refusal = x.checkQuarantine() // time has passed since the choice
+	}
 	if refusal == nil && !cleared {
 		x.releaseSlot()
 	}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -1,11 +1,26 @@
 package forward
 
 import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
 	"github.com/apex/log"
 
+	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/eligibility"
+	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/httpconn"
+	"github.com/cloverwheel/cloverwheel/internal/id"
+	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 )
 
+// maxShareWait is how long the final answer of a request under which a worker ended waits until other nodes know of it. The
+// client's next try may reach one of them at once.
+const maxShareWait = 100 * time.Millisecond
+
 // keys identify the request's work over all tries of its client. They are computed when they are first needed, since a large
 // body takes some time to hash.
 func (x *exchange) keys() quarantine.Keys {
@@ -36,3 +51,148 @@
 	}
 	return fields
 }
+
+// checkQuarantine refuses work under which too many workers have ended. It runs before each send.
+func (x *exchange) checkQuarantine() *fault.Error {
+	x.evidence = quarantine.Evidence{}
+	if x.options.Quarantine.Loading() {
+		return x.withRan(fault.New(fault.Unavailable, "this node has just started and does not know yet which work ends workers",
+			"retry after the delay in Retry-After").WithRetryAfter(noConfigRetryAfter))
+	}
+	if x.options.Quarantine.Empty() {
+		return nil
+	}
+	x.evidence = x.options.Quarantine.Evidence(x.keys())
+	if !x.evidence.Quarantined() {
+		return nil
+	}
+	return x.withRan(fault.Newf(fault.WorkQuarantined, "change the request, or ask the operator to release the key",
+		"%d workers ended while they ran this work, and it is sent to no other one (key %s)", x.evidence.Ends(), x.evidence.Key()))
+}
+
+// recordSeen records what was known of the work when it was sent to a worker.
+func (x *exchange) recordSeen(worker *backend.Worker) {
+	if !x.evidence.Suspect() && x.options.Quarantine.Empty() {
+		return
+	}
+	if x.seen == nil {
+		x.seen = map[string]quarantine.Evidence{}
+	}
+	x.seen[worker.Key()] = x.evidence
+}
+
+// checkEnded finds out whether a worker that has closed the request's connection has ended.
+func (x *exchange) checkEnded(ctx context.Context, worker *backend.Worker, err error) {
+	if !httpconn.ClosedByPeer(err) {
+		return
+	}
+	if worker.Leaving() {
+		x.plannedEnds = append(x.plannedEnds, worker.Key())
+	}
+	limited, cancel := context.WithTimeout(ctx, dialCheckTimeout)
+	defer cancel()
+	if x.attempts.processEnded(worker.Key(), worker.Pool().ProbeEnded(limited)) {
+		x.dropAttempt(worker, observedEnded)
+	}
+}
+
+// recordEnd records that a worker has ended while it ran the request. The end of one that was leaving is not the request's fault.
+func (x *exchange) recordEnd(worker *backend.Worker, observed string) {
+	if slices.Contains(x.plannedEnds, worker.Key()) {
+		return
+	}
+	x.ended++
+	since := x.options.Quarantine.RecordEnd(x.keys(), x.seen[worker.Key()])
+	x.options.Metrics.WorkersEnded.Inc()
+	entry := x.options.Logger.WithFields(log.Fields{
+		"request":  x.request.ID,
+		"worker":   worker.Key(),
+		"observed": observed,
+		"ends":     since.Ends(),
+		"key":      since.Key().String(),
+	}).WithFields(x.workFields())
+	if since.Quarantined() {
+		entry.Warn("a worker ended while it ran the request; its work is quarantined and refused from now on")
+		return
+	}
+	entry.Warn("a worker ended while it ran the request; its work is suspected until a worker answers it")
+}
+
+// recordHarmless records that a worker has answered the request completely.
+func (x *exchange) recordHarmless() {
+	if x.options.Quarantine.Empty() || !x.options.Quarantine.RecordAnswer(x.keys()) {
+		return
+	}
+	x.options.Logger.WithField("request", x.request.ID).WithField("worker", x.lastWorker).WithFields(x.workFields()).
+		Info("a worker answered suspected work; it is no longer suspected")
+}
+
+// awaitEndsShared waits until other nodes know of the ends under this request.
+func (x *exchange) awaitEndsShared() {
+	if x.ended == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), maxShareWait)
+	defer cancel()
+	x.options.Quarantine.Flush(ctx)
+}
+
+// chooseForSuspect chooses the worker of suspected work, or refuses it; nil: any worker may be chosen. All nodes choose the same
+// worker for the same work, so that concurrent requests for it end no more than one, and different workers for different works, so that
+// work that ran beside fatal work is not sent to the next worker with it.
+func (x *exchange) chooseForSuspect() (*backend.Worker, *fault.Error) {
+	if !x.evidence.Suspect() {
+		return nil, nil
+	}
+	usable := x.usableWorkers()
+	if x.evidence.LastTrial() && len(usable) == 1 && x.options.Workers.Count(x.service) > 1 {
+		return nil, x.withRan(fault.Newf(fault.Unavailable, "retry after the delay in Retry-After",
+			"%d workers ended while they ran this work, and service %q has one usable worker left", x.evidence.Ends(), x.service).
+			WithRetryAfter(jitteredRetryAfter()))
+	}
+	for _, worker := range x.orderForSuspect(usable) {
+		if !slices.Contains(x.excluded, worker.Key()) {
+			return worker, nil
+		}
+	}
+	return nil, nil
+}
+
+// orderForSuspect orders the workers as suspected work tries them. On their last trials, different works begin at different workers.
+func (x *exchange) orderForSuspect(workers []*backend.Worker) []*backend.Worker {
+	seed, first := x.evidence.Key().String(), 0
+	if x.evidence.LastTrial() {
+		if rank, ok := x.options.Quarantine.Rank(x.evidence.Key()); ok {
+			seed, first = x.service, rank
+		}
+	}
+	slices.SortFunc(workers, func(a, b *backend.Worker) int {
+		return cmp.Compare(id.Score(seed, b.Key()), id.Score(seed, a.Key()))
+	})
+	if len(workers) == 0 {
+		return nil
+	}
+	first %= len(workers)
+	return slices.Concat(workers[first:], workers[:first])
+}
+
+// usableWorkers returns the warm workers of the service that may get the request and have not failed at this node lately. Those of
+// other regions are left out unless there are no others.
+func (x *exchange) usableWorkers() []*backend.Worker {
+	query, now := x.placementQuery(nil), time.Now()
+	var near, far []*backend.Worker
+	for _, worker := range x.options.Workers.Workers(x.service) {
+		if x.options.Workers.Check(worker, x.restrictions()) != eligibility.Allowed || worker.Leaving() || worker.Avoided(now) {
+			continue
+		}
+		if distance, _ := x.options.Workers.Distance(worker, query); distance == locality.OtherRegion {
+			far = append(far, worker)
+			continue
+		}
+		near = append(near, worker)
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -95,6 +95,7 @@
 	switch {
 	case err == nil:
 		answer.Close(true)
+		x.recordHarmless()
 		return true, nil
 	case errors.Is(err, errClientGone):
 		return true, x.endedError(ctx)
@@ -113,6 +114,7 @@
 		return x.handleFailure(ctx, limited, worker, err)
 	}
 	answer.Close(true)
+	x.recordHarmless()
 	failure := answer.Status >= http.StatusInternalServerError
 	if failure {
 		worker.RecordFailure(time.Now())
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/deadconn"
+	"github.com/cloverwheel/cloverwheel/internal/timing"
 )
 
 // ErrNotWritten is in the chain of errors of requests of which no byte was written.
@@ -41,6 +42,13 @@
 	idleGrowthDivisor = 20
 )
 
+const (
+	// endedProbes is the number of connections by which ProbeEnded finds out whether a peer has ended, and endedProbePause the pause
+	// between them.
+	endedProbes     = 4
+	endedProbePause = 10 * time.Millisecond
+)
+
 // Buffer sizes of a connection in bytes.
 const (
 	readBuffer  = 4 << 10
@@ -331,13 +339,33 @@
 // Probe opens a connection and keeps it idle, or returns why that failed. A peer at its
 // connection limit is reachable: that is no error.
 func (p *Pool) Probe(ctx context.Context) error {
+	err := p.probe(ctx)
+	if errors.Is(err, ErrConnectionLimit) {
+		return nil
+	}
+	return err
+}
+
+// ProbeEnded is Probe for a peer that may have ended just now. While a process ends, its host may still accept connections and reset
+// them at once, so these are tried again a few times.
+func (p *Pool) ProbeEnded(ctx context.Context) error {
+	for range endedProbes - 1 {
+		if err := p.probe(ctx); !errors.Is(err, ErrConnectionLimit) {
+			return err
+		}
+		if err := timing.Sleep(ctx, endedProbePause); err != nil {
+			return err
+		}
+	}
+	return p.Probe(ctx)
+}
+
+// probe opens a connection and keeps it idle.
+func (p *Pool) probe(ctx context.Context) error {
 	if p.options.OnProbe != nil {
 		p.options.OnProbe()
 	}
 	c, err := p.dial(ctx)
-	if errors.Is(err, ErrConnectionLimit) {
-		return nil
-	}
 	if err != nil {
 		return err
 	}
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -47,12 +47,18 @@
 	return keys
 }
 
-// all returns the keys that are set.
-func (k Keys) all() []Key {
-	if k.Program == 0 {
-		return []Key{k.Content}
+// keyKinds is the number of keys in Keys.
+const keyKinds = 3
+
+// list returns the keys in a fixed order; those that are not set are zero.
+func (k Keys) list() [keyKinds]Key { return [keyKinds]Key{k.Content, k.Turn, k.Program} }
+
+// specific returns the key that differs between works.
+func (k Keys) specific() Key {
+	if k.Turn != 0 {
+		return k.Turn
 	}
-	return []Key{k.Content, k.Turn, k.Program}
+	return k.Content
 }
 
 // hash returns the hash of texts, each with its length, and a number.
--- a/internal/quarantine/key_test.go
+++ b/internal/quarantine/key_test.go
@@ -35,5 +35,5 @@
 	require.NotEqual(t, KeysOf(work).Turn, KeysOf(other).Turn)
 	require.NotEqual(t, KeysOf(work).Program, KeysOf(other).Program)
 	other.Program = ""
-	require.Len(t, KeysOf(other).all(), 1)
+	require.Equal(t, Keys{Content: KeysOf(work).Content}, KeysOf(other))
 }
--- /dev/null
+++ b/internal/quarantine/replicate.go
@@ -0,0 +1,290 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/locality"
+	"github.com/cloverwheel/cloverwheel/internal/timing"
+)
+
+const (
+	// minShareTimeout and maxShareTimeout bound the timeout of a message to another node; within them it follows the observed
+	// response times of that node.
+	minShareTimeout = 40 * time.Millisecond
+	maxShareTimeout = 250 * time.Millisecond
+	// syncPeriod is the time between comparisons with another node. They find what messages have missed, and tell that node that this
+	// one wants to hear of changes.
+	syncPeriod = 5 * time.Second
+	// subscriptionPeriods is the number of syncPeriods for which a node is told of changes after it has asked.
+	subscriptionPeriods = 3
+	// syncFarOneIn is how rarely a node compares with one of another zone.
+	syncFarOneIn = 4
+	// startTimeout is how long a node that has just started tries to learn what others know before it serves without.
+	startTimeout = 300 * time.Millisecond
+	// startRetry is the pause between these tries.
+	startRetry = 20 * time.Millisecond
+	// maxPushes is the number of batches of changes that are sent at the same time. Further changes wait and share a batch.
+	maxPushes = 4
+)
+
+// ShareRequest tells another node of changes, or asks for what it knows. It is sent with gob, so its fields keep their names.
+type ShareRequest struct {
+	Entries []Entry
+	// Subscriber is the sender if it wants to hear of changes and of what it does not know; empty: it only tells of changes.
+	Subscriber budget.Holder
+	// Digest is that of the subscriber's entries.
+	Digest uint64
+}
+
+// ShareAnswer holds what the sender does not know yet: of the keys that it sent, or if it subscribes, of all.
+type ShareAnswer struct{ Entries []Entry }
+
+// Peers sends messages to other nodes.
+type Peers interface {
+	ShareQuarantine(ctx context.Context, holder budget.Holder, request ShareRequest) (ShareAnswer, error)
+}
+
+// Options configures a Replicator. Tracker, Self, Nodes, Peers and Logger are required.
+type Options struct {
+	Tracker *Tracker
+	Self    budget.Holder
+	// Nodes returns the other nodes that this one knows.
+	Nodes func() []budget.Holder
+	Peers Peers
+	// ResponseTimes estimates the response times of other nodes; nil: the shortest timeouts are used.
+	ResponseTimes timing.TimeoutFunc
+	// OnSent is called with the number of nodes that a batch of changes has reached, and that it has not; may be nil.
+	OnSent func(reached, missed int)
+	Logger log.Interface
+}
+
+// Replicator exchanges what trackers know between nodes. A change is sent to all nodes that this one knows, which pass it on to the
+// nodes that have asked them: a node that has just started, or that few others know, hears of changes through those.
+type Replicator struct {
+	options Options
+
+	mutex       sync.Mutex
+	subscribers map[budget.Holder]time.Time // until when they are told of changes
+	waiting     *batch                      // changes that no push has taken yet; nil: none
+	sending     []*batch
+}
+
+// batch is a set of changes that are sent together.
+type batch struct {
+	entries []Entry
+	sent    chan struct{} // closed once each node has confirmed them or did not answer
+}
+
+// NewReplicator returns a replicator of a tracker's changes. Run starts the comparisons with other nodes.
+func NewReplicator(options Options) *Replicator {
+	if options.OnSent == nil {
+		options.OnSent = func(int, int) {}
+	}
+	r := &Replicator{options: options, subscribers: map[budget.Holder]time.Time{}}
+	options.Tracker.onChange, options.Tracker.flush = r.publish, r.flush
+	options.Tracker.loading.Store(true)
+	return r
+}
+
+// Run compares this node's entries with other nodes' until ctx ends.
+func (r *Replicator) Run(ctx context.Context) {
+	r.start(ctx)
+	r.options.Tracker.loading.Store(false)
+	for timing.Sleep(ctx, syncPeriod/2+rand.N(syncPeriod)) == nil {
+		if !r.sync(ctx) {
+			r.sync(ctx) // with another node, probably
+		}
+	}
+}
+
+// start learns what other nodes know.
+func (r *Replicator) start(ctx context.Context) {
+	begun := time.Now()
+	for !r.sync(ctx) {
+		if time.Since(begun) >= startTimeout || timing.Sleep(ctx, startRetry) != nil {
+			r.options.Logger.Info("no other node told which work is quarantined; serving without")
+			return
+		}
+	}
+}
+
+// sync exchanges entries with one other node, and reports whether it answered.
+func (r *Replicator) sync(ctx context.Context) bool {
+	partner, ok := r.partner()
+	if !ok {
+		return false
+	}
+	request := ShareRequest{Subscriber: r.options.Self, Digest: r.options.Tracker.digest()}
+	answer, err := r.share(ctx, partner, request)
+	if err != nil {
+		return false
+	}
+	r.learn(partner, answer.Entries)
+	if len(answer.Entries) > 0 { // the digests differed
+		_, err = r.share(ctx, partner, ShareRequest{Entries: r.options.Tracker.Entries()})
+	}
+	return err == nil
+}
+
+// partner returns the node to compare with, mostly one of this node's zone.
+func (r *Replicator) partner() (budget.Holder, bool) {
+	nodes := r.otherNodes()
+	if near := slices.DeleteFunc(slices.Clone(nodes), r.isFar); len(near) > 0 && rand.IntN(syncFarOneIn) > 0 {
+		nodes = near
+	}
+	if len(nodes) == 0 {
+		return budget.Holder{}, false
+	}
+	return nodes[rand.IntN(len(nodes))], true
+}
+
+// otherNodes returns the nodes that this one knows, without earlier processes at its own address.
+func (r *Replicator) otherNodes() []budget.Holder {
+	return slices.DeleteFunc(r.options.Nodes(), func(node budget.Holder) bool { return node.Address == r.options.Self.Address })
+}
+
+func (r *Replicator) isFar(node budget.Holder) bool {
+	return locality.ZoneOf(node.Process) != locality.ZoneOf(r.options.Self.Process)
+}
+
+// publish sends changes of this node to others, in the background.
+func (r *Replicator) publish(changes []Entry) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.waiting == nil {
+		r.waiting = &batch{sent: make(chan struct{})}
+	}
+	r.waiting.entries = append(r.waiting.entries, changes...)
+	if len(r.sending) < maxPushes {
+		r.sending = append(r.sending, r.waiting)
+		go r.pushAll(r.waiting)
+		r.waiting = nil
+	}
+}
+
+// pushAll sends a batch, and then those that have waited for it.
+func (r *Replicator) pushAll(next *batch) {
+	for next != nil {
+		r.push(next.entries, append(r.otherNodes(), r.currentSubscribers()...))
+		close(next.sent)
+		next = r.replaceSent(next)
+	}
+}
+
+// replaceSent removes a batch that was sent, and returns the one to send in its place; nil: none waits.
+func (r *Replicator) replaceSent(done *batch) *batch {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.sending = slices.DeleteFunc(r.sending, func(other *batch) bool { return other == done })
+	next := r.waiting
+	r.waiting = nil
+	if next != nil {
+		r.sending = append(r.sending, next)
+	}
+	return next
+}
+
+// flush waits until the changes published so far have been sent, or ctx ends.
+func (r *Replicator) flush(ctx context.Context) {
+	r.mutex.Lock()
+	open := slices.Clone(r.sending)
+	if r.waiting != nil {
+		open = append(open, r.waiting)
+	}
+	r.mutex.Unlock()
+	for _, one := range open {
+		select {
+		case <-one.sent:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// push sends entries to nodes, and waits until each has answered or its timeout has passed.
+func (r *Replicator) push(entries []Entry, nodes []budget.Holder) {
+	var reached, missed atomic.Int64
+	var group sync.WaitGroup
+	sentTo := map[string]bool{} // by address: an earlier process of a node may still be listed
+	for _, node := range nodes {
+		if sentTo[node.Address] {
+			continue
+		}
+		sentTo[node.Address] = true
+		group.Go(func() {
+			answer, err := r.share(context.Background(), node, ShareRequest{Entries: entries})
+			if err != nil {
+				missed.Add(1)
+				return
+			}
+			reached.Add(1)
+			r.learn(node, answer.Entries)
+		})
+	}
+	group.Wait()
+	r.options.OnSent(int(reached.Load()), int(missed.Load()))
+}
+
+// share sends a request to a node.
+func (r *Replicator) share(ctx context.Context, node budget.Holder, request ShareRequest) (ShareAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.ResponseTimes.For(node.Process, minShareTimeout, maxShareTimeout))
+	defer cancel()
+	return r.options.Peers.ShareQuarantine(ctx, node, request)
+}
+
+// learn takes over what another node knows, and logs which work is quarantined because of it.
+func (r *Replicator) learn(from budget.Holder, entries []Entry) (news []Entry) {
+	news = r.options.Tracker.Merge(entries)
+	for _, entry := range news {
+		if entry.State.Ends >= MaxEnds {
+			r.options.Logger.WithField("from", from.Process).WithField("key", entry.Key.String()).
+				Warn("another node told that work is quarantined; it is refused here, too")
+		}
+	}
+	return news
+}
+
+// Handle answers the message of another node, and passes its news on to the nodes that have asked this one.
+func (r *Replicator) Handle(request ShareRequest) ShareAnswer {
+	news := r.learn(request.Subscriber, request.Entries)
+	if subscribers := r.currentSubscribers(); len(news) > 0 && len(subscribers) > 0 {
+		go r.push(news, subscribers)
+	}
+	if request.Subscriber == (budget.Holder{}) {
+		return ShareAnswer{Entries: r.options.Tracker.newerThan(request.Entries)}
+	}
+	r.subscribe(request.Subscriber)
+	if request.Digest == r.options.Tracker.digest() {
+		return ShareAnswer{}
+	}
+	return ShareAnswer{Entries: r.options.Tracker.Entries()}
+}
+
+func (r *Replicator) subscribe(node budget.Holder) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.subscribers[node] = time.Now().Add(subscriptionPeriods * syncPeriod)
+}
+
+// currentSubscribers returns the nodes that have asked this one lately.
+func (r *Replicator) currentSubscribers() (nodes []budget.Holder) {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for node, until := range r.subscribers {
+		if now.After(until) {
+			delete(r.subscribers, node)
+			continue
+		}
+		nodes = append(nodes, node)
+	}
+	return nodes
+}
--- /dev/null
+++ b/internal/quarantine/replicate_test.go
@@ -0,0 +1,183 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/budget"
+)
+
+var errUnreachable = errors.New("the node does not answer")
+
+// testCluster is a set of nodes that exchange what they know. Messages take testDelay each way.
+type testCluster struct {
+	mutex sync.Mutex
+	nodes []*testNode
+}
+
+const testDelay = time.Millisecond
+
+// testNode is a node of a testCluster, and the Peers of its replicator.
+type testNode struct {
+	cluster    *testCluster
+	holder     budget.Holder
+	tracker    *Tracker
+	replicator *Replicator
+	stop       context.CancelFunc
+	listed     bool // the other nodes know it
+	cut        bool // no messages pass
+}
+
+// start adds a node. Others know it if it is listed; it knows all that are.
+func (c *testCluster) start(t *testing.T, listed bool) *testNode {
+	c.mutex.Lock()
+	name := fmt.Sprint("n", len(c.nodes))
+	node := &testNode{cluster: c, holder: budget.Holder{Process: "z/" + name, Address: name}, tracker: NewTracker(), listed: listed}
+	c.nodes = append(c.nodes, node)
+	c.mutex.Unlock()
+	node.replicator = NewReplicator(Options{
+		Tracker: node.tracker, Self: node.holder, Nodes: node.known, Peers: node, Logger: &log.Logger{Handler: discard.New()},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	node.stop = cancel
+	go node.replicator.Run(ctx)
+	time.Sleep(startTimeout + time.Second)
+	return node
+}
+
+func (n *testNode) known() (nodes []budget.Holder) {
+	n.cluster.mutex.Lock()
+	defer n.cluster.mutex.Unlock()
+	for _, node := range n.cluster.nodes {
+		if node != n && node.listed {
+			nodes = append(nodes, node.holder)
+		}
+	}
+	return nodes
+}
+
+// ShareQuarantine implements Peers.
+func (n *testNode) ShareQuarantine(ctx context.Context, holder budget.Holder, request ShareRequest) (ShareAnswer, error) {
+	n.cluster.mutex.Lock()
+	index := slices.IndexFunc(n.cluster.nodes, func(node *testNode) bool { return node.holder == holder })
+	node := n.cluster.nodes[index]
+	passes := !n.cut && !node.cut
+	n.cluster.mutex.Unlock()
+	if !passes {
+		<-ctx.Done()
+		return ShareAnswer{}, errUnreachable
+	}
+	time.Sleep(testDelay)
+	answer := node.replicator.Handle(request)
+	time.Sleep(testDelay)
+	return answer, nil
+}
+
+func (c *testCluster) setCut(cut bool, nodes ...*testNode) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, node := range nodes {
+		node.cut = cut
+	}
+}
+
+// Guards against a client's next try that reaches another node before that one knows of the end.
+func TestFlushedEndsAreKnownToAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := &testCluster{}
+		for range 4 {
+			cluster.start(t, true)
+		}
+		fatal := workOf("fatal")
+		for ends := 1; ends <= MaxEnds; ends++ {
+			cluster.nodes[ends].tracker.end(fatal)
+			cluster.nodes[ends].tracker.Flush(t.Context())
+			for _, node := range cluster.nodes {
+				require.Equal(t, ends, node.tracker.Evidence(fatal).Ends())
+			}
+		}
+		stopAll(cluster)
+	})
+}
+
+// Guards against nodes that hear of ends late because they have just started or are not among the nodes that others know.
+func TestUnlistedNodesHearOfEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := &testCluster{}
+		cluster.start(t, true)
+		cluster.start(t, true)
+		fatal := workOf("fatal")
+		cluster.nodes[0].tracker.end(fatal)
+		late := cluster.start(t, false)
+		require.Equal(t, 1, late.tracker.Evidence(fatal).Ends())
+		cluster.nodes[0].tracker.end(fatal)
+		cluster.nodes[0].tracker.Flush(t.Context())
+		time.Sleep(4 * testDelay) // it is told by the node that it has asked
+		require.Equal(t, 2, late.tracker.Evidence(fatal).Ends())
+		late.tracker.end(fatal)
+		late.tracker.Flush(t.Context())
+		require.True(t, cluster.nodes[1].tracker.Evidence(fatal).Quarantined())
+		stopAll(cluster)
+	})
+}
+
+// Guards against knowledge that dies with the node that saw the ends, and against nodes that never catch up after a partition.
+func TestKnowledgeOutlastsNodesAndPartitions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := &testCluster{}
+		for range 4 {
+			cluster.start(t, true)
+		}
+		fatal := workOf("fatal")
+		cluster.setCut(true, cluster.nodes[3])
+		for range MaxEnds {
+			cluster.nodes[0].tracker.end(fatal)
+		}
+		cluster.nodes[0].tracker.Flush(t.Context())
+		cluster.nodes[0].stop()
+		cluster.setCut(true, cluster.nodes[0])
+		require.False(t, cluster.nodes[3].tracker.Evidence(fatal).Suspect())
+		cluster.setCut(false, cluster.nodes[3])
+		time.Sleep(4 * syncPeriod)
+		require.True(t, cluster.nodes[3].tracker.Evidence(fatal).Quarantined())
+		cluster.nodes[3].tracker.RecordAnswer(fatal) // an operator releases it
+		time.Sleep(4 * syncPeriod)
+		require.False(t, cluster.nodes[1].tracker.Evidence(fatal).Suspect())
+		stopAll(cluster)
+	})
+}
+
+// Guards against a caller that waits without end for a node that does not answer.
+func TestFlushEndsWhileNodesAreUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := &testCluster{}
+		cluster.start(t, true)
+		cluster.start(t, true)
+		cluster.setCut(true, cluster.nodes[1])
+		for range 3 * maxPushes {
+			cluster.nodes[0].tracker.end(workOf("fatal"))
+		}
+		begun := time.Now()
+		cluster.nodes[0].tracker.Flush(t.Context())
+		require.LessOrEqual(t, time.Since(begun), 2*maxShareTimeout)
+		stopAll(cluster)
+	})
+}
+
+// stopAll stops the nodes and waits until the messages under way have arrived.
+func stopAll(cluster *testCluster) {
+	for _, node := range cluster.nodes {
+		node.stop()
+	}
+	time.Sleep(2 * maxShareTimeout)
+}
--- /dev/null
+++ b/internal/quarantine/tracker.go
@@ -0,0 +1,279 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// maxEntries is the number of keys that a node remembers, about 1 MB of memory. A worker that ends with 16 requests adds up to 48.
+const maxEntries = 10_000
+
+// sweepPeriod is the least time between removals of lapsed entries.
+const sweepPeriod = time.Second
+
+// Tracker holds what this node knows of suspected and quarantined work. It is safe for concurrent use.
+type Tracker struct {
+	// onChange is called with the entries that this node has changed, without the mutex; nil: nobody is told.
+	onChange func([]Entry)
+	// flush waits until other nodes know of the changes; nil likewise.
+	flush func(context.Context)
+
+	loading atomic.Bool  // this node has just started and may not know what others know
+	size    atomic.Int64 // of entries
+	mutex   sync.Mutex
+	entries map[Key]*record
+	sweptAt time.Time // when lapsed entries were last removed
+}
+
+// record is the state of a key and when it was last changed.
+type record struct {
+	state      State
+	changedAt  time.Time
+	identifies bool
+}
+
+func (r *record) lapsed(now time.Time) bool { return now.Sub(r.changedAt) >= r.state.ttl() }
+
+// NewTracker returns a tracker that knows of no ends.
+func NewTracker() *Tracker { return &Tracker{entries: map[Key]*record{}} }
+
+// Loading reports whether this node has just started and may not know yet what others know. It ends within startTimeout.
+func (t *Tracker) Loading() bool { return t.loading.Load() }
+
+// Empty reports whether nothing is known of any work. It is cheap, so that requests cost nothing while no worker ends.
+func (t *Tracker) Empty() bool { return t.size.Load() == 0 }
+
+// Evidence returns what is known of a request's work.
+func (t *Tracker) Evidence(keys Keys) Evidence {
+	evidence := Evidence{keys: keys}
+	if t.Empty() {
+		return evidence
+	}
+	now := time.Now()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for index, key := range keys.list() {
+		if known, ok := t.entries[key]; ok && key != 0 && !known.lapsed(now) {
+			evidence.states[index] = known.state
+		}
+	}
+	return evidence
+}
+
+// RecordEnd records that a worker ended while it ran a request's work, which was sent to it when the evidence was seen. It
+// returns the evidence since then.
+func (t *Tracker) RecordEnd(keys Keys, seen Evidence) Evidence {
+	now := time.Now()
+	t.mutex.Lock()
+	t.dropLapsed(now)
+	changed := make([]Entry, 0, keyKinds)
+	for index, key := range keys.list() {
+		if key == 0 {
+			continue
+		}
+		known := t.recordOf(key, now)
+		known.identifies = known.identifies || key == keys.specific()
+		known.state, known.changedAt = known.state.afterEnd(seen.states[index]), now
+		changed = append(changed, known.entry(key, now))
+	}
+	t.mutex.Unlock()
+	t.publish(changed)
+	return t.Evidence(keys)
+}
+
+// RecordAnswer records that a worker has answered a request's work completely: it does not end workers. It reports whether that
+// has cleared a suspicion.
+func (t *Tracker) RecordAnswer(keys Keys) (cleared bool) {
+	if t.Empty() {
+		return false
+	}
+	now := time.Now()
+	t.mutex.Lock()
+	var changed []Entry
+	for _, key := range keys.list() {
+		if known, ok := t.entries[key]; ok && known.state.Ends > 0 {
+			known.state, known.changedAt = known.state.afterAnswer(), now
+			changed = append(changed, known.entry(key, now))
+		}
+	}
+	t.mutex.Unlock()
+	t.publish(changed)
+	return len(changed) > 0
+}
+
+// Merge takes over what other nodes know, and returns the entries that were news.
+func (t *Tracker) Merge(entries []Entry) (news []Entry) {
+	now := time.Now()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, entry := range entries {
+		if entry.Age >= entry.State.ttl() {
+			continue
+		}
+		if known, ok := t.entries[entry.Key]; ok && !known.lapsed(now) && !entry.State.later(known.state) {
+			continue
+		}
+		known := t.recordOf(entry.Key, now)
+		known.state, known.changedAt = entry.State, now.Add(-entry.Age)
+		known.identifies = known.identifies || entry.Identifies
+		news = append(news, entry)
+	}
+	return news
+}
+
+// Entries returns all that is known.
+func (t *Tracker) Entries() []Entry {
+	now := time.Now()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.dropLapsed(now)
+	entries := make([]Entry, 0, len(t.entries))
+	for key, known := range t.entries {
+		if !known.lapsed(now) {
+			entries = append(entries, known.entry(key, now))
+		}
+	}
+	return entries
+}
+
+// Rank returns the position of a work's key among the keys of all works on their last trial, which are ranked alike on all nodes
+// that know the same works; ok is false if the key does not tell works apart.
+func (t *Tracker) Rank(key Key) (rank int, ok bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.entries[key]; known == nil || !known.identifies {
+		return 0, false
+	}
+	for other, known := range t.entries {
+		if other < key && known.identifies && known.state.Ends == MaxEnds-1 {
+			rank++
+		}
+	}
+	return rank, true
+}
+
+// Count returns the number of suspected keys and of quarantined keys.
+func (t *Tracker) Count() (suspected, quarantined int) {
+	now := time.Now()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, known := range t.entries {
+		switch {
+		case known.lapsed(now) || known.state.Ends == 0:
+		case known.state.Ends >= MaxEnds:
+			quarantined++
+		default:
+			suspected++
+		}
+	}
+	return suspected, quarantined
+}
+
+// digest returns a number that two trackers with the same states share.
+func (t *Tracker) digest() (sum uint64) {
+	for _, entry := range t.Entries() {
+		sum ^= uint64(hash("state", uint64(entry.Key)+uint64(entry.State.Generation)<<8+uint64(entry.State.Ends)))
+	}
+	return sum
+}
+
+func (t *Tracker) publish(changed []Entry) {
+	if t.onChange != nil && len(changed) > 0 {
+		t.onChange(changed)
+	}
+}
+
+// recordOf returns the record of a key, which is created if there is none, and cleared if it has lapsed. The caller holds the mutex.
+func (t *Tracker) recordOf(key Key, now time.Time) *record {
+	if known, ok := t.entries[key]; ok {
+		if known.lapsed(now) {
+			known.state = known.state.afterAnswer()
+		}
+		return known
+	}
+	if len(t.entries) >= maxEntries {
+		t.evict(now)
+	}
+	known := &record{changedAt: now}
+	t.entries[key] = known
+	t.size.Store(int64(len(t.entries)))
+	return known
+}
+
+// evict drops the oldest key that is not quarantined, or else the oldest. The caller holds the mutex.
+func (t *Tracker) evict(now time.Time) {
+	t.dropLapsed(now)
+	if len(t.entries) < maxEntries {
+		return
+	}
+	var oldest Key
+	for key, known := range t.entries {
+		if first := t.entries[oldest]; first == nil || known.expendable(first) {
+			oldest = key
+		}
+	}
+	delete(t.entries, oldest)
+}
+
+// expendable reports whether the record is dropped before another one.
+func (r *record) expendable(other *record) bool {
+	if quarantined := r.state.Ends >= MaxEnds; quarantined != (other.state.Ends >= MaxEnds) {
+		return !quarantined
+	}
+	return r.changedAt.Before(other.changedAt)
+}
+
+// dropLapsed removes the keys that are no longer suspected, at most once in sweepPeriod. The caller holds the mutex.
+func (t *Tracker) dropLapsed(now time.Time) {
+	if now.Sub(t.sweptAt) < sweepPeriod {
+		return
+	}
+	t.sweptAt = now
+	for key, known := range t.entries {
+		if known.lapsed(now) {
+			delete(t.entries, key)
+		}
+	}
+	t.size.Store(int64(len(t.entries)))
+}
+
+func (r *record) entry(key Key, now time.Time) Entry {
+	return Entry{Key: key, State: r.state, Age: now.Sub(r.changedAt), Identifies: r.identifies}
+}
+
+// Quarantined returns the quarantined keys, in ascending order.
+func (t *Tracker) Quarantined() (keys []Key) {
+	for _, entry := range t.Entries() {
+		if entry.State.Ends >= MaxEnds {
+			keys = append(keys, entry.Key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Release ends the quarantine of a key, for an operator. It reports whether the key was known.
+func (t *Tracker) Release(key Key) bool { return t.RecordAnswer(Keys{Content: key}) }
+
+// Flush waits until the other nodes that can be reached know of all changes, or ctx ends.
+func (t *Tracker) Flush(ctx context.Context) {
+	if t.flush != nil {
+		t.flush(ctx)
+	}
+}
+
+// newerThan returns what is known beyond the given entries of the same keys.
+func (t *Tracker) newerThan(entries []Entry) (newer []Entry) {
+	now := time.Now()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, entry := range entries {
+		if known, ok := t.entries[entry.Key]; ok && known.state.later(entry.State) && !known.lapsed(now) {
+			newer = append(newer, known.entry(entry.Key, now))
+		}
+	}
+	return newer
+}
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -6,6 +6,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/directory"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 	"github.com/cloverwheel/cloverwheel/internal/warmup"
@@ -25,6 +26,10 @@
 	allowance forward.WarmupLimiter
 	// origins remembers which software versions began streams; nil likewise.
 	origins *streamOrigins
+	// quarantine remembers under which work workers ended, and replicator exchanges that with other nodes; replicator is nil
+	// likewise.
+	quarantine *quarantine.Tracker
+	replicator *quarantine.Replicator
 	// capacity tracks the free capacity of workers; nil likewise.
 	capacity *capacityTracker
 }
@@ -54,12 +59,16 @@
 	turns := history.New(historyOptions)
 	peers.handleProgramCalls(options.Process, budgets, turns, dir)
 	handleRelayCalls(peers.mux, options.Process, gate)
+	tracker := newQuarantineTracker(options)
 	return components{
 		budgets: budgets, history: turns, directory: dir, historyPeers: client, store: relayed,
 		limits:    newTenantLimits(options, peers, verifier, dir),
 		allowance: newColdAllowance(options, peers, verifier, dir),
 		capacity:  newCapacityTracker(options, peers, verifier, dir),
 		origins:   newStreamOrigins(options, relayed, peers, dir, workers.SoftwareVersions),
+
+		quarantine: tracker,
+		replicator: newQuarantineReplicator(options, tracker, peers, dir),
 	}
 }
 
@@ -69,6 +78,8 @@
 		budgets: budget.NewAccounts(budget.Options{Store: gate, Self: options.self()}),
 		history: history.New(options.historyOptions(gate)),
 		store:   gate,
+
+		quarantine: newQuarantineTracker(options),
 	}
 }
 
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -39,6 +39,7 @@
 	grants             *prometheus.CounterVec // by outcome
 	workerLookups      *prometheus.CounterVec // by target and result
 	streamRecords      *prometheus.CounterVec // by result
+	quarantineSent     *prometheus.CounterVec // by result
 
 	commitCalls    *prometheus.CounterVec // by outcome
 	commitRows     prometheus.Histogram
@@ -79,7 +80,8 @@
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "grants_total", Help: "Requests for a part of a program's budget that this node answered as the owner, by what came of them."}, []string{"outcome"})
 	m.workerLookups = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "list_questions_total", Help: "Questions to the list of workers for some that this node does not keep, by what was asked for and what came of it."}, []string{"found"})
 	m.streamRecords = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "stream_records_total", Help: "Records of the software versions that began streams by whether another node got them (sent) or did not answer (lost)."}, []string{"result"})
-	registry.MustRegister(m.streamRecords, m.workerLookups, m.limitAnswers, m.coldAnswers, m.deadConnections, m.grants, m.roundTrips, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
+	m.quarantineSent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "quarantine_messages_total", Help: "Messages that tell other nodes under which work workers ended, by whether these answered (reached) or not (missed)."}, []string{"result"})
+	registry.MustRegister(m.quarantineSent, m.streamRecords, m.workerLookups, m.limitAnswers, m.coldAnswers, m.deadConnections, m.grants, m.roundTrips, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
 	m.RelayedCalls = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
 	m.InvalidEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "foreign_worker_entries_total", Help: "Entries of the list of workers that appeared or changed and name no worker."})
 	registry.MustRegister(m.Dials, m.WorkerProbes, m.RelayedCalls, m.InvalidEntries, m.tableCalls, m.tableBytes)
@@ -137,11 +139,25 @@
 // RegisterGrantGauges registers gauges of the directory slots that this node owns, and of those
 // for which it may grant parts of budgets.
 func (m *Metrics) RegisterGrantGauges(rights func() (may, owned int)) {
-	gauge := func(name, help string, read func() int) {
-		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "cloverwheel", Name: name, Help: help}, func() float64 { return float64(read()) }))
-	}
-	gauge("slots_owned", "Directory slots that this node owns.", func() int { _, owned := rights(); return owned })
-	gauge("slots_granting", "Directory slots of which this node may grant parts of budgets.", func() int { may, _ := rights(); return may })
+	m.registerGauge("slots_owned", "Directory slots that this node owns.", func() int { _, owned := rights(); return owned })
+	m.registerGauge("slots_granting", "Directory slots of which this node may grant parts of budgets.", func() int { may, _ := rights(); return may })
+}
+
+// registerGauge registers a gauge of a number that is read when the metrics are.
+func (m *Metrics) registerGauge(name, help string, read func() int) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "cloverwheel", Name: name, Help: help}, func() float64 { return float64(read()) }))
+}
+
+// RegisterQuarantineGauges registers gauges of the work under which workers ended.
+func (m *Metrics) RegisterQuarantineGauges(count func() (suspected, quarantined int)) {
+	m.registerGauge("work_suspected", "Keys of work under which a worker ended and that no worker has answered since.", func() int { suspected, _ := count(); return suspected })
+	m.registerGauge("work_quarantined", "Keys of work that is refused because too many workers ended under it.", func() int { _, quarantined := count(); return quarantined })
+}
+
+// QuarantineSent counts messages to other nodes about work under which workers ended.
+func (m *Metrics) QuarantineSent(reached, missed int) {
+	m.quarantineSent.WithLabelValues("reached").Add(float64(reached))
+	m.quarantineSent.WithLabelValues("missed").Add(float64(missed))
 }
 
 // RegisterProofAge registers a gauge of the age, in seconds, of the proof that the configuration
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -16,6 +16,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/isolation"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
+	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
 	"github.com/cloverwheel/cloverwheel/internal/streamorigin"
 	"github.com/cloverwheel/cloverwheel/internal/timing"
@@ -50,6 +51,8 @@
 	// methodRecordStreams sends to a holder which software versions began streams, and methodFindStream asks it.
 	methodRecordStreams = "streams.record"
 	methodFindStream    = "streams.find"
+	// methodShareQuarantine tells another node which work ends workers, or asks it.
+	methodShareQuarantine = "quarantine.share"
 	// methodProof reads a node's proof that its configuration is the newest.
 	methodProof = "configuration.proof"
 )
@@ -178,7 +181,7 @@
 
 // peerClient calls other nodes and measures the latency of each zone. It implements budget.Peers,
 // directory.Peers, directory.GrantPeers, quota.Peers, warmup.Peers, capacity.Peers,
-// groupcommit.Peers, streamorigin.Peers and forward.HistoryPeers.
+// groupcommit.Peers, streamorigin.Peers, quarantine.Peers and forward.HistoryPeers.
 type peerClient struct {
 	transport *meteredTransport
 	latencies timing.LatencyEstimates // by zone of the called process
@@ -310,6 +313,11 @@
 	return callPeer[streamorigin.FindAnswer](peer.WithRepeatable(ctx), c, holder, methodFindStream, request)
 }
 
+// ShareQuarantine implements quarantine.Peers.
+func (c *peerClient) ShareQuarantine(ctx context.Context, holder budget.Holder, request quarantine.ShareRequest) (quarantine.ShareAnswer, error) {
+	return callPeer[quarantine.ShareAnswer](peer.WithRepeatable(ctx), c, holder, methodShareQuarantine, request)
+}
+
 // ForwardRows implements groupcommit.Peers.
 func (c *peerClient) ForwardRows(ctx context.Context, owner budget.Holder, request groupcommit.Request) (groupcommit.Answer, error) {
 	if !mayPassThrough(ctx, c.transport.location.Zones, owner) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
+	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/scheduling"
@@ -129,6 +130,8 @@
 	peers          *peers
 	capacity       *capacityTracker // nil: the node runs without peers
 	origins        *streamOrigins   // nil likewise
+	quarantine     *quarantine.Tracker
+	replicator     *quarantine.Replicator // of quarantine; nil likewise
 	clients        *clientConns
 	drain          chan struct{}
 	bodyBytes      atomic.Int64 // bytes held by request and response bodies
@@ -173,6 +176,8 @@
 		peers:          peers,
 		capacity:       parts.capacity,
 		origins:        parts.origins,
+		quarantine:     parts.quarantine,
+		replicator:     parts.replicator,
 		invalidEntries: invalidEntries{},
 		finder:         finder,
 		clients:        newClientConns(options.Settings.Descriptors),
@@ -197,6 +202,7 @@
 			ReserveMemory:   func(bytes int64) (func(), bool) { return s.ReserveBodyMemory(bytes) },
 			Finder:          finder,
 			Origins:         parts.origins.forForwarder(),
+			Quarantine:      parts.quarantine,
 			Prober:          options.Prober,
 			Capacity:        parts.capacity.forwarderCapacity(),
 			Estimator:       scheduling.NewEstimator(),
@@ -254,7 +260,7 @@
 
 // Ready reports whether the node should get new connections.
 func (s *Server) Ready() bool {
-	return !s.RedirectsClients() && s.workersLoaded.Load() && s.origins.loaded() && s.forwarder.Configuration() != nil && s.clients.accepting()
+	return !s.RedirectsClients() && s.workersLoaded.Load() && s.origins.loaded() && !s.quarantine.Loading() && s.forwarder.Configuration() != nil && s.clients.accepting()
 }
 
 // ReserveBodyMemory reserves memory for a request body, or for a response held until its client has
@@ -291,7 +297,7 @@
 	}
 	runs := []func(context.Context){s.sweeper.Run, s.workers.Run, s.monitorStalls, s.verifier.run, s.monitorIsolation}
 	if s.directory != nil {
-		runs = append(runs, s.directory.Run, s.capacity.client.Run, s.origins.versions.Run)
+		runs = append(runs, s.directory.Run, s.capacity.client.Run, s.origins.versions.Run, s.replicator.Run)
 	}
 	for _, run := range runs {
 		group.Go(func() error {
