Works on their last trial try different workers; a quarantine ends with one trial

Suspected works were ranked for their last trial before the node knew of the others that the same worker had run. Now the last trial waits 50 ms for these, and works take disjoint sets of workers.

A quarantine of 10 minutes would also have kept harmless content refused long after a faulty release of workers. It now ends after a minute with a trial at one worker, the same from all nodes; each failed trial doubles the period, up to an hour.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -146,6 +146,7 @@
 	evidence         quarantine.Evidence            // of ends under the work, as of the last check before a send
 	seen             map[string]quarantine.Evidence // evidence at the send to each worker, by its key; zero values are left out
 	plannedEnds      []string                       // keys of workers that were leaving when they closed the request's connection
+	endsAwaited      int                            // value of ended when the request last waited for other nodes
 	ended            int                            // workers that ended while they ran the request
 	sends            int                            // number of sends so far
 	sendFailures     []string                       // outcome of each send that failed or was not made, for the log
@@ -253,7 +254,7 @@
 			only = x.attempts.counted
 		}
 		if len(only) == 0 {
-			worker, refusal := x.chooseForSuspect()
+			worker, refusal := x.chooseForSuspect(ctx)
 			if refusal != nil {
 				return nil, refusal
 			}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -15,12 +15,17 @@
 	"github.com/cloverwheel/cloverwheel/internal/id"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
+	"github.com/cloverwheel/cloverwheel/internal/timing"
 )
 
 // maxShareWait is how long the final answer of a request under which a worker ended waits until other nodes know of it. The
 // client's next try may reach one of them at once.
 const maxShareWait = 100 * time.Millisecond
 
+// lastTrialPause is the pause before work is sent that is quarantined if its worker ends, too. It covers the time in which other nodes
+// find out that the worker has ended that ran it.
+const lastTrialPause = 50 * time.Millisecond
+
 // keys identify the request's work over all tries of its client. They are computed when they are first needed, since a large
 // body takes some time to hash.
 func (x *exchange) keys() quarantine.Keys {
@@ -140,10 +145,13 @@
 // chooseForSuspect chooses the worker of suspected work, or refuses it; nil: any worker may be chosen. All nodes choose the same
 // worker for the same work, so that concurrent requests for it end no more than one, and different workers for different works, so that
 // work that ran beside fatal work is not sent to the next worker with it.
-func (x *exchange) chooseForSuspect() (*backend.Worker, *fault.Error) {
+func (x *exchange) chooseForSuspect(ctx context.Context) (*backend.Worker, *fault.Error) {
 	if !x.evidence.Suspect() {
 		return nil, nil
 	}
+	if x.evidence.LastTrial() {
+		x.awaitOtherEnds(ctx)
+	}
 	usable := x.usableWorkers()
 	if x.evidence.LastTrial() && len(usable) == 1 && x.options.Workers.Count(x.service) > 1 {
 		return nil, x.withRan(fault.Newf(fault.Unavailable, "retry after the delay in Retry-After",
@@ -158,22 +166,44 @@
 	return nil, nil
 }
 
-// orderForSuspect orders the workers as suspected work tries them. On their last trials, different works begin at different workers.
+// awaitOtherEnds waits, once after each end, until this node knows of the other works that the ended worker ran, and others know of
+// this one.
+func (x *exchange) awaitOtherEnds(ctx context.Context) {
+	if x.endsAwaited == x.ended {
+		return
+	}
+	x.endsAwaited = x.ended
+	_ = timing.Sleep(ctx, lastTrialPause)
+}
+
+// orderForSuspect orders the workers as suspected work tries them. On their last trials, works of which this node knows try
+// different workers.
 func (x *exchange) orderForSuspect(workers []*backend.Worker) []*backend.Worker {
-	seed, first := x.evidence.Key().String(), 0
-	if x.evidence.LastTrial() {
-		if rank, ok := x.options.Quarantine.Rank(x.evidence.Key()); ok {
-			seed, first = x.service, rank
-		}
+	key := x.evidence.Key()
+	if rank, count, ok := x.options.Quarantine.Rank(key); ok && x.evidence.LastTrial() {
+		return everyNth(sortByScore(workers, x.service), rank, count)
 	}
+	return sortByScore(workers, key.String())
+}
+
+// sortByScore sorts workers by the hash of their keys and seed (rendezvous hashing): all nodes that list the same workers compute the
+// same order, and one that is missing does not change the order of the others.
+func sortByScore(workers []*backend.Worker, seed string) []*backend.Worker {
 	slices.SortFunc(workers, func(a, b *backend.Worker) int {
 		return cmp.Compare(id.Score(seed, b.Key()), id.Score(seed, a.Key()))
 	})
+	return workers
+}
+
+// everyNth returns each step-th worker from the first position on, or if there are fewer workers than that, one of them.
+func everyNth(workers []*backend.Worker, first, step int) (chosen []*backend.Worker) {
 	if len(workers) == 0 {
 		return nil
 	}
-	first %= len(workers)
-	return slices.Concat(workers[first:], workers[:first])
+	for index := first % len(workers); index < len(workers); index += step {
+		chosen = append(chosen, workers[index])
+	}
+	return chosen
 }
 
 // usableWorkers returns the warm workers of the service that may get the request and have not failed at this node lately. Those of
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"time"
+)
 
 // MaxEnds is the number of workers that may end under the same work before it is quarantined.
 const MaxEnds = 3
@@ -9,8 +13,10 @@
 	// suspectTTL is how long work is suspected after a worker last ended under it. It must exceed the time in which
 	// clients try again.
 	suspectTTL = time.Minute
-	// quarantineTTL is how long work is quarantined. It must exceed the time of a program with all its retries.
-	quarantineTTL = 10 * time.Minute
+	// quarantinePeriod is how long work is quarantined at first. Then one worker may try it: the cause may have been another one, such as
+	// a faulty release. Each failed trial doubles the period, up to maxQuarantinePeriod.
+	quarantinePeriod    = time.Minute
+	maxQuarantinePeriod = time.Hour
 )
 
 // State is what is known of one key. States are ordered: nodes that exchange theirs end up with the latest. It is sent between
@@ -18,14 +24,12 @@
 type State struct {
 	Generation uint32 // number of times that complete answers have cleared the key
 	Ends       uint8  // workers that have ended one after the other since
+	Trials     uint8  // of these, workers that ended in trials after a quarantine
 }
 
 // later reports whether the state supersedes another one.
 func (s State) later(other State) bool {
-	if s.Generation != other.Generation {
-		return s.Generation > other.Generation
-	}
-	return s.Ends > other.Ends
+	return cmp.Or(cmp.Compare(s.Generation, other.Generation), cmp.Compare(s.Ends, other.Ends), cmp.Compare(s.Trials, other.Trials)) > 0
 }
 
 // afterEnd returns the state after a worker ended to which the work was sent when its state was seen. Workers that run the same
@@ -35,17 +39,35 @@
 		s.Ends = max(s.Ends, 1)
 		return s
 	}
-	s.Ends = max(s.Ends, seen.Ends+1)
+	s.Ends, s.Trials = max(s.Ends, seen.Ends+1), max(s.Trials, seen.Trials)
 	return s
 }
 
 // afterAnswer returns the state after a complete answer.
 func (s State) afterAnswer() State { return State{Generation: s.Generation + 1} }
 
+// period returns how long work is quarantined in the state.
+func (s State) period() time.Duration {
+	period := quarantinePeriod
+	for range s.Trials {
+		period = min(2*period, maxQuarantinePeriod)
+	}
+	return period
+}
+
+// atAge returns the state as it is seen some time after it last changed: when a quarantine is over, one worker may try the work.
+func (s State) atAge(age time.Duration) State {
+	if s.Ends >= MaxEnds && age >= s.period() {
+		s.Ends = MaxEnds - 1
+		s.Trials = min(s.Trials, math.MaxUint8-1) + 1
+	}
+	return s
+}
+
 // ttl returns how long the state is kept.
 func (s State) ttl() time.Duration {
 	if s.Ends >= MaxEnds {
-		return quarantineTTL
+		return 2 * s.period()
 	}
 	return suspectTTL
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -57,7 +57,7 @@
 	defer t.mutex.Unlock()
 	for index, key := range keys.list() {
 		if known, ok := t.entries[key]; ok && key != 0 && !known.lapsed(now) {
-			evidence.states[index] = known.state
+			evidence.states[index] = known.state.atAge(now.Sub(known.changedAt))
 		}
 	}
 	return evidence
@@ -139,20 +139,25 @@
 	return entries
 }
 
-// Rank returns the position of a work's key among the keys of all works on their last trial, which are ranked alike on all nodes
-// that know the same works; ok is false if the key does not tell works apart.
-func (t *Tracker) Rank(key Key) (rank int, ok bool) {
+// Rank returns the position of a work's key among the keys of all works on their last trial, and the number of these. Nodes that know
+// the same works rank them alike. ok is false if the key does not tell works apart.
+func (t *Tracker) Rank(key Key) (rank, count int, ok bool) {
+	now := time.Now()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if known := t.entries[key]; known == nil || !known.identifies {
-		return 0, false
+		return 0, 0, false
 	}
 	for other, known := range t.entries {
-		if other < key && known.identifies && known.state.Ends == MaxEnds-1 {
+		if !known.identifies || known.lapsed(now) || known.state.atAge(now.Sub(known.changedAt)).Ends != MaxEnds-1 {
+			continue
+		}
+		count++
+		if other < key {
 			rank++
 		}
 	}
-	return rank, true
+	return rank, max(count, 1), true
 }
 
 // Count returns the number of suspected keys and of quarantined keys.
@@ -163,7 +168,7 @@
 	for _, known := range t.entries {
 		switch {
 		case known.lapsed(now) || known.state.Ends == 0:
-		case known.state.Ends >= MaxEnds:
+		case known.state.atAge(now.Sub(known.changedAt)).Ends >= MaxEnds:
 			quarantined++
 		default:
 			suspected++
@@ -175,7 +180,7 @@
 // digest returns a number that two trackers with the same states share.
 func (t *Tracker) digest() (sum uint64) {
 	for _, entry := range t.Entries() {
-		sum ^= uint64(hash("state", uint64(entry.Key)+uint64(entry.State.Generation)<<8+uint64(entry.State.Ends)))
+		sum ^= uint64(hash("state", uint64(entry.Key)+uint64(entry.State.Generation)<<16+uint64(entry.State.Ends)<<8+uint64(entry.State.Trials)))
 	}
 	return sum
 }
@@ -247,7 +252,7 @@
 // Quarantined returns the quarantined keys, in ascending order.
 func (t *Tracker) Quarantined() (keys []Key) {
 	for _, entry := range t.Entries() {
-		if entry.State.Ends >= MaxEnds {
+		if entry.State.atAge(entry.Age).Ends >= MaxEnds {
 			keys = append(keys, entry.Key)
 		}
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -74,19 +74,23 @@
 		for range MaxEnds {
 			tracker.end(fatal)
 		}
-		time.Sleep(suspectTTL)
+		time.Sleep(suspectTTL - time.Second)
+		require.True(t, tracker.Evidence(suspect).Suspect())
+		time.Sleep(time.Second)
 		require.False(t, tracker.Evidence(suspect).Suspect())
 		require.Equal(t, 1, tracker.end(suspect).Ends(), "ends that have lapsed do not count")
-		require.True(t, tracker.Evidence(fatal).Quarantined())
+		require.True(t, tracker.Evidence(fatal).LastTrial())
 		for index := range maxEntries + 5 {
 			tracker.end(workOf(fmt.Sprint(index)))
 		}
 		suspected, quarantined := tracker.Count()
 		require.Equal(t, maxEntries, suspected+quarantined)
-		require.True(t, tracker.Evidence(fatal).Quarantined(), "quarantined work is kept longest")
-		time.Sleep(quarantineTTL)
+		require.True(t, tracker.Evidence(fatal).LastTrial(), "work that was quarantined is kept longest")
+		time.Sleep(2 * quarantinePeriod)
 		require.False(t, tracker.Evidence(fatal).Suspect())
-		tracker.Entries()
+		tracker.end(fatal)
+		time.Sleep(suspectTTL)
+		tracker.RecordEnd(Keys{}, Evidence{}) // drops what has lapsed
 		require.True(t, tracker.Empty())
 	})
 }
@@ -131,3 +135,50 @@
 		}
 	})
 }
+
+// Guards against harmless work that stays refused after a faulty release of workers, and against fatal work that ends three workers
+// after each quarantine.
+func TestQuarantineEndsWithOneTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := NewTracker()
+		fatal := workOf("fatal")
+		for range MaxEnds {
+			tracker.end(fatal)
+		}
+		period := quarantinePeriod
+		for range 3 {
+			time.Sleep(period - time.Millisecond)
+			require.True(t, tracker.Evidence(fatal).Quarantined())
+			time.Sleep(time.Millisecond)
+			seen := tracker.Evidence(fatal)
+			require.True(t, seen.LastTrial())
+			tracker.RecordEnd(fatal, seen)
+			tracker.RecordEnd(fatal, seen) // another node's trial at the same worker
+			period *= 2
+		}
+		time.Sleep(period)
+		tracker.RecordAnswer(fatal)
+		require.False(t, tracker.Evidence(fatal).Suspect())
+	})
+}
+
+// Guards against works on their last trial that share a rank, and so a worker.
+func TestWorksOnTheirLastTrialHaveDifferentRanks(t *testing.T) {
+	tracker := NewTracker()
+	ranks := map[int]bool{}
+	for index := range 5 {
+		keys := KeysOf(Work{Program: fmt.Sprint("p", index), Body: []byte("in")})
+		tracker.end(keys)
+		tracker.end(keys)
+	}
+	for index := range 5 {
+		keys := KeysOf(Work{Program: fmt.Sprint("p", index), Body: []byte("in")})
+		rank, count, ok := tracker.Rank(keys.Turn)
+		require.True(t, ok)
+		require.Equal(t, 5, count)
+		ranks[rank] = true
+		_, _, ok = tracker.Rank(keys.Program)
+		require.False(t, ok)
+	}
+	require.Len(t, ranks, 5)
+}
