A worker whose address another process has by now is known to have ended

The successor's answer, that it is not the process addressed (421), after the worker closed the request's connection, now proves the end. TestWorkerWhoseAddressHasAnotherProcessHasEnded failed before (0 suspected keys).

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -66,7 +66,18 @@
 // that sends a malformed answer also closes connections, and one that shuts down gracefully stops
 // listening before it is done.
 func (a *attempts) processEnded(worker string, err error) bool {
-	return httpconn.Refused(err) && slices.Contains(a.broken, worker) && slices.Contains(a.counted, worker)
+	return httpconn.Refused(err) && a.closedBy(worker)
+}
+
+// supplanted reports whether a worker that may have run the request is known to have ended, given that another process answers at
+// its address. A send that this node gave up may have reached that process.
+func (a *attempts) supplanted(worker string) bool {
+	return a.closedBy(worker) && a.endedWithProcess(worker)
+}
+
+// closedBy reports whether a worker that counts has closed the connection of a send to it.
+func (a *attempts) closedBy(worker string) bool {
+	return slices.Contains(a.broken, worker) && slices.Contains(a.counted, worker)
 }
 
 // drop stops counting a worker.
@@ -155,4 +166,6 @@
 const (
 	observedEnded     = "ended"     // it closed the connection, and its address refuses new ones
 	observedRestarted = "succeeded" // another process has registered under its ID
+	// observedSupplanted: it closed the connection, and another process answers at its address.
+	observedSupplanted = "supplanted"
 )
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -172,6 +172,9 @@
 	x.slot.MarkDeclined()
 	x.recordSendFailure(worker, "declined")
 	x.declines++
+	if answer.OtherProcess && x.attempts.supplanted(worker.Key()) {
+		x.dropAttempt(worker, observedSupplanted)
+	}
 	x.reportDecline()
 	x.exclude(worker.Key())
 	x.options.Metrics.Declines.Inc()
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -140,6 +140,25 @@
 	}
 }
 
+// Guards against an end that is missed because another process had the worker's address by the time that the node looked.
+func TestWorkerWhoseAddressHasAnotherProcessHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, plainRoute(route.Safe, 1))
+		f.reachable = true
+		f.worker("w0", func(ctx context.Context, call Call) (*Answer, error) {
+			if len(f.sent()) == 1 {
+				return nil, io.ErrUnexpectedEOF
+			}
+			answer, err := declines(ctx, call)
+			answer.OtherProcess = true
+			return answer, err
+		})
+		f.serve(t.Context(), nil)
+		suspected, _ := f.forwarder.options.Quarantine.Count()
+		require.Equal(t, 1, suspected)
+	})
+}
+
 // Guards against work that is suspected because the worker that ran it was leaving and ended as planned.
 func TestEndOfALeavingWorkerRaisesNoSuspicion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -67,8 +67,10 @@
 	Header   http.Header // passed on to the client
 	Length   int64       // of the body in bytes; -1: unknown
 	Declined bool        // the worker reported that it did not run the request
-	Stream   bool        // the body is a stream of events
-	Body     io.Reader
+	// OtherProcess means that the answer is that of another process than the one addressed, which has its address now.
+	OtherProcess bool
+	Stream       bool // the body is a stream of events
+	Body         io.Reader
 	// Close ends the exchange. whole reports whether the body was read to its end, so that the
 	// connection can be reused.
 	Close func(whole bool)
