A worker is known to have ended when a later one is listed at its address; operators see and release quarantined work

TestRequestOfASupplantedWorkerIsSentToItsSuccessor failed before.

GET /quarantine at the metrics address lists the quarantined keys, DELETE /quarantine/KEY releases one on all nodes.

--- a/internal/backend/accessors.go
+++ b/internal/backend/accessors.go
@@ -32,6 +32,16 @@
 // slice must not be changed.
 func (r *Registry) SoftwareVersions(service string) []string { return r.rosterOf(service).versions }
 
+// AddressTaken reports whether a worker of the same service that started later is listed with the worker's address, so that this one
+// has ended.
+func (r *Registry) AddressTaken(worker *Worker) bool {
+	own := worker.Record()
+	return slices.ContainsFunc(r.rosterOf(worker.service).workers, func(other *Worker) bool {
+		listed := other.Record()
+		return listed.Address == own.Address && own.precedes(listed)
+	})
+}
+
 // WorkersInZone returns the listed workers of a service that are in a zone.
 func (r *Registry) WorkersInZone(service, zone string) []*Worker {
 	r.mutex.Lock()
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -69,8 +69,8 @@
 	return httpconn.Refused(err) && a.closedBy(worker)
 }
 
-// supplanted reports whether a worker that may have run the request is known to have ended, given that another process answers at
-// its address. A send that this node gave up may have reached that process.
+// supplanted reports whether a worker that may have run the request is known to have ended, given that another process has its
+// address. A send that this node gave up may have reached that process.
 func (a *attempts) supplanted(worker string) bool {
 	return a.closedBy(worker) && a.endedWithProcess(worker)
 }
@@ -93,13 +93,16 @@
 }
 
 // dropRestarted stops counting the workers whose process has been replaced by a new one under the
-// same ID: the old process has ended. An answer of the new process does not show whether
+// same ID or, after it closed the request's connection, at the same address: the old process has ended. An answer of the new process does not show whether
 // the old one ran the request. A send that this node gave up may have reached the new process, so its worker still counts.
 func (x *exchange) dropRestarted() {
 	for _, worker := range x.attempted {
 		if slices.Contains(x.attempts.counted, worker.Key()) && worker.Replaced() && x.attempts.endedWithProcess(worker.Key()) {
 			x.dropAttempt(worker, observedRestarted)
 		}
+		if x.attempts.supplanted(worker.Key()) && x.options.Workers.AddressTaken(worker) {
+			x.dropAttempt(worker, observedSupplanted)
+		}
 	}
 }
 
@@ -166,6 +169,6 @@
 const (
 	observedEnded     = "ended"     // it closed the connection, and its address refuses new ones
 	observedRestarted = "succeeded" // another process has registered under its ID
-	// observedSupplanted: it closed the connection, and another process answers at its address.
+	// observedSupplanted: it closed the connection, and another process has its address.
 	observedSupplanted = "supplanted"
 )
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -159,6 +159,22 @@
 	})
 }
 
+// Guards against failing a request whose worker was replaced at its address before the node looked.
+func TestRequestOfASupplantedWorkerIsSentToItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, plainRoute(route.Safe, 1))
+		f.reachable = true
+		f.startProcess(1, 1)
+		f.scripts["w0"] = func(context.Context, Call) (*Answer, error) {
+			f.worker("w1", answers(http.StatusOK, "ok"))
+			f.workers.Put(backend.Record{ID: "w1", StartedAt: time.UnixMilli(2000), Service: "s", Address: "w0", Zone: "z", Slots: 4, Revision: 2})
+			f.workers.Remove("w0")
+			return nil, io.ErrUnexpectedEOF
+		}
+		require.True(t, f.serve(t.Context(), nil).ended)
+	})
+}
+
 // Guards against work that is suspected because the worker that ran it was leaving and ended as planned.
 func TestEndOfALeavingWorkerRaisesNoSuspicion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -43,10 +43,10 @@
 )
 
 const (
-	// endedProbes is the number of connections by which ProbeEnded finds out whether a peer has ended, and endedProbePause the pause
-	// between them.
-	endedProbes     = 4
-	endedProbePause = 10 * time.Millisecond
+	// endedProbes is the number of connections by which ProbeEnded finds out whether a peer has ended, and endedProbePause the first
+	// pause between them; each doubles the one before, so that a successor that soon listens at the address is not taken for the peer.
+	endedProbes     = 6
+	endedProbePause = time.Millisecond
 )
 
 // Buffer sizes of a connection in bytes.
@@ -349,11 +349,11 @@
 // ProbeEnded is Probe for a peer that may have ended just now. While a process ends, its host may still accept connections and reset
 // them at once, so these are tried again a few times.
 func (p *Pool) ProbeEnded(ctx context.Context) error {
-	for range endedProbes - 1 {
+	for index := range endedProbes - 1 {
 		if err := p.probe(ctx); !errors.Is(err, ErrConnectionLimit) {
 			return err
 		}
-		if err := timing.Sleep(ctx, endedProbePause); err != nil {
+		if err := timing.Sleep(ctx, endedProbePause<<index); err != nil {
 			return err
 		}
 	}
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -46,8 +46,8 @@
 // afterAnswer returns the state after a complete answer.
 func (s State) afterAnswer() State { return State{Generation: s.Generation + 1} }
 
-// period returns how long work is quarantined in the state.
-func (s State) period() time.Duration {
+// Period returns how long work is quarantined in the state.
+func (s State) Period() time.Duration {
 	period := quarantinePeriod
 	for range s.Trials {
 		period = min(2*period, maxQuarantinePeriod)
@@ -57,7 +57,7 @@
 
 // atAge returns the state as it is seen some time after it last changed: when a quarantine is over, one worker may try the work.
 func (s State) atAge(age time.Duration) State {
-	if s.Ends >= MaxEnds && age >= s.period() {
+	if s.Ends >= MaxEnds && age >= s.Period() {
 		s.Ends = MaxEnds - 1
 		s.Trials = min(s.Trials, math.MaxUint8-1) + 1
 	}
@@ -67,7 +67,7 @@
 // ttl returns how long the state is kept.
 func (s State) ttl() time.Duration {
 	if s.Ends >= MaxEnds {
-		return 2 * s.period()
+		return 2 * s.Period()
 	}
 	return suspectTTL
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -249,15 +250,11 @@
 	return Entry{Key: key, State: r.state, Age: now.Sub(r.changedAt), Identifies: r.identifies}
 }
 
-// Quarantined returns the quarantined keys, in ascending order.
-func (t *Tracker) Quarantined() (keys []Key) {
-	for _, entry := range t.Entries() {
-		if entry.State.atAge(entry.Age).Ends >= MaxEnds {
-			keys = append(keys, entry.Key)
-		}
-	}
-	slices.Sort(keys)
-	return keys
+// Quarantined returns the entries of quarantined keys, in ascending order of the keys.
+func (t *Tracker) Quarantined() []Entry {
+	entries := slices.DeleteFunc(t.Entries(), func(entry Entry) bool { return entry.State.atAge(entry.Age).Ends < MaxEnds })
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return entries
 }
 
 // Release ends the quarantine of a key, for an operator. It reports whether the key was known.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -25,7 +25,8 @@
 	}
 	require.True(t, tracker.Evidence(fatal).Quarantined())
 	require.False(t, tracker.Evidence(other).Suspect())
-	require.Equal(t, []Key{fatal.Content}, tracker.Quarantined())
+	require.Len(t, tracker.Quarantined(), 1)
+	require.Equal(t, fatal.Content, tracker.Quarantined()[0].Key)
 }
 
 // Guards against quarantining content that many clients send because a rack that ran it lost power.
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -186,7 +186,5 @@
 
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
-	handler := http.NewServeMux()
-	handler.Handle(MetricsPath, promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
-	return handler
+	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{})
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -321,7 +321,7 @@
 		return err
 	}
 	s.peers.serve(ctx, group, s)
-	metrics := &http.Server{Handler: s.options.Metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: newErrorLog(s.options.Logger)}
+	metrics := &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: newErrorLog(s.options.Logger)}
 	if address := s.options.Settings.MetricsAddress; address != "" {
 		if err := s.serve(group, metrics, address, s.options.Listen); err != nil {
 			return err
