--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -146,6 +146,7 @@
 	evidence         quarantine.Evidence            // of ends under the work, as of the last check before a send
 	seen             map[string]quarantine.Evidence // evidence at the send to each worker, by its key; zero values are left out
 	plannedEnds      []string                       // keys of workers that were leaving when they closed the request's connection
+	lastBreak        time.Time                      // when a worker last closed the request's connection
 	endsAwaited      int                            // value of ended when the request last waited for other nodes
 	ended            int                            // workers that ended while they ran the request
 	sends            int                            // number of sends so far
@@ -182,7 +183,10 @@
 	refusal := x.serve(ctx)
 	x.releaseSlot()
 	x.returnToLimit()
-	x.awaitEndsShared()
+	if refusal != nil {
+		x.resolveBreaks()
+		x.awaitEndsShared()
+	}
 	switch {
 	case refusal == nil || x.answered:
 	case x.headSent:
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -22,6 +22,9 @@
 // client's next try may reach one of them at once.
 const maxShareWait = 100 * time.Millisecond
 
+// endingTime is how long a process may take to end after it closed a connection, on a busy machine.
+const endingTime = 30 * time.Millisecond
+
 // lastTrialPause is the pause before work is sent that is quarantined if its worker ends, too. It covers the time in which other nodes
 // find out that the worker has ended that ran it.
 const lastTrialPause = 50 * time.Millisecond
@@ -64,6 +67,7 @@
 		return x.withRan(fault.New(fault.Unavailable, "this node has just started and does not know yet which work ends workers",
 			"retry after the delay in Retry-After").WithRetryAfter(noConfigRetryAfter))
 	}
+	x.options.Quarantine.AwaitCurrent(x.clientCtx)
 	if x.options.Quarantine.Empty() {
 		return nil
 	}
@@ -91,6 +95,7 @@
 	if !httpconn.ClosedByPeer(err) {
 		return
 	}
+	x.lastBreak = time.Now()
 	if worker.Leaving() {
 		x.plannedEnds = append(x.plannedEnds, worker.Key())
 	}
@@ -101,13 +106,34 @@
 	}
 }
 
+// resolveBreaks finds out, before a failed request is answered, which of the workers that closed its connection have ended. The
+// first look may have come while a process was ending.
+func (x *exchange) resolveBreaks() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialCheckTimeout)
+	defer cancel()
+	x.dropRestarted()
+	for _, worker := range x.attempted {
+		if !x.attempts.closedBy(worker.Key()) {
+			continue
+		}
+		_ = timing.Sleep(ctx, endingTime-time.Since(x.lastBreak))
+		if x.attempts.processEnded(worker.Key(), worker.Pool().ProbeEnded(ctx)) {
+			x.dropAttempt(worker, observedEnded)
+		}
+	}
+}
+
 // recordEnd records that a worker has ended while it ran the request. The end of one that was leaving is not the request's fault.
 func (x *exchange) recordEnd(worker *backend.Worker, observed string) {
 	if slices.Contains(x.plannedEnds, worker.Key()) {
 		return
 	}
+	seen := x.seen[worker.Key()]
+	if x.ended > 0 { // the sends of one request follow each other, whatever was known of their ends
+		seen = x.options.Quarantine.Evidence(x.keys())
+	}
 	x.ended++
-	since := x.options.Quarantine.RecordEnd(x.keys(), x.seen[worker.Key()])
+	since := x.options.Quarantine.RecordEnd(x.keys(), seen)
 	x.options.Metrics.WorkersEnded.Inc()
 	entry := x.options.Logger.WithFields(log.Fields{
 		"request":  x.request.ID,
--- a/internal/quarantine/replicate.go
+++ b/internal/quarantine/replicate.go
@@ -31,6 +31,16 @@
 	startTimeout = 300 * time.Millisecond
 	// startRetry is the pause between these tries.
 	startRetry = 20 * time.Millisecond
+	// youngPeriod is the time between comparisons, and between tries to find a node that answers, until the node is grownAge old. Until
+	// then few others may know it, and it may know few of them.
+	youngPeriod = 500 * time.Millisecond
+	grownAge    = 10 * time.Second
+	// stallCheckPeriod is how often a node notes that it runs, and stallThreshold how long it must not have run to have missed messages.
+	stallCheckPeriod = 100 * time.Millisecond
+	stallThreshold   = 250 * time.Millisecond
+	// maxStallWait is how long requests wait for what a node that was stalled has missed, and stallPoll how often they look.
+	maxStallWait = 100 * time.Millisecond
+	stallPoll    = 5 * time.Millisecond
 	// maxPushes is the number of batches of changes that are sent at the same time. Further changes wait and share a batch.
 	maxPushes = 4
 )
@@ -98,11 +108,31 @@
 func (r *Replicator) Run(ctx context.Context) {
 	r.start(ctx)
 	r.options.Tracker.loading.Store(false)
-	for timing.Sleep(ctx, syncPeriod/2+rand.N(syncPeriod)) == nil {
-		if !r.sync(ctx) {
-			r.sync(ctx) // with another node, probably
+	go r.detectStalls(ctx)
+	begun, answered := time.Now(), true
+	for timing.Sleep(ctx, syncPause(time.Since(begun), answered)) == nil {
+		answered = r.sync(ctx)
+	}
+}
+
+// syncPause returns the pause before the next comparison of a node of the given age.
+func syncPause(age time.Duration, answered bool) time.Duration {
+	if age < grownAge || !answered {
+		return youngPeriod/2 + rand.N(youngPeriod)
+	}
+	return syncPeriod/2 + rand.N(syncPeriod)
+}
+
+// detectStalls compares entries with another node at once when this process did not run for a while. Until then, AwaitCurrent waits.
+func (r *Replicator) detectStalls(ctx context.Context) {
+	r.options.Tracker.noteRunning()
+	for timing.Sleep(ctx, stallCheckPeriod) == nil {
+		if r.options.Tracker.stalled() {
+			r.sync(ctx)
 		}
+		r.options.Tracker.noteRunning()
 	}
+	r.options.Tracker.lastRun.Store(0)
 }
 
 // start learns what other nodes know.
--- a/internal/quarantine/replicate_test.go
+++ b/internal/quarantine/replicate_test.go
@@ -181,3 +181,25 @@
 	}
 	time.Sleep(2 * maxShareTimeout)
 }
+
+// Guards against a node that serves with what it knew before it was paused.
+func TestStalledNodesCatchUpBeforeTheyServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := &testCluster{}
+		cluster.start(t, true)
+		paused := cluster.start(t, true)
+		cluster.setCut(true, paused)
+		for range MaxEnds {
+			cluster.nodes[0].tracker.end(workOf("fatal"))
+		}
+		cluster.nodes[0].tracker.Flush(t.Context())
+		cluster.setCut(false, paused)
+		paused.tracker.lastRun.Add(-int64(time.Second)) // as if it had not run since
+		paused.tracker.AwaitCurrent(t.Context())
+		require.True(t, paused.tracker.Evidence(workOf("fatal")).Quarantined())
+		begun := time.Now()
+		paused.tracker.AwaitCurrent(t.Context())
+		require.Zero(t, time.Since(begun))
+		stopAll(cluster)
+	})
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cloverwheel/cloverwheel/internal/timing"
 )
 
 // maxEntries is the number of keys that a node remembers, about 1 MB of memory. A worker that ends with 16 requests adds up to 48.
@@ -23,6 +25,8 @@
 	flush func(context.Context)
 
 	loading atomic.Bool  // this node has just started and may not know what others know
+	created time.Time
+	lastRun atomic.Int64 // when the process last noted that it runs, in nanoseconds since created; 0: it does not note it
 	size    atomic.Int64 // of entries
 	mutex   sync.Mutex
 	entries map[Key]*record
@@ -39,11 +43,29 @@
 func (r *record) lapsed(now time.Time) bool { return now.Sub(r.changedAt) >= r.state.ttl() }
 
 // NewTracker returns a tracker that knows of no ends.
-func NewTracker() *Tracker { return &Tracker{entries: map[Key]*record{}} }
+func NewTracker() *Tracker { return &Tracker{created: time.Now(), entries: map[Key]*record{}} }
 
 // Loading reports whether this node has just started and may not know yet what others know. It ends within startTimeout.
 func (t *Tracker) Loading() bool { return t.loading.Load() }
 
+// stalled reports whether the process has not run for a while, and has not caught up since.
+func (t *Tracker) stalled() bool {
+	lastRun := t.lastRun.Load()
+	return lastRun != 0 && time.Since(t.created)-time.Duration(lastRun) > stallThreshold
+}
+
+// noteRunning records that the process runs and has missed no messages that it knows of.
+func (t *Tracker) noteRunning() { t.lastRun.Store(max(1, int64(time.Since(t.created)))) }
+
+// AwaitCurrent waits until a process that did not run for a while knows what it has missed, at most maxStallWait.
+func (t *Tracker) AwaitCurrent(ctx context.Context) {
+	for waited := time.Duration(0); t.stalled() && waited < maxStallWait; waited += stallPoll {
+		if timing.Sleep(ctx, stallPoll) != nil {
+			return
+		}
+	}
+}
+
 // Empty reports whether nothing is known of any work. It is cheap, so that requests cost nothing while no worker ends.
 func (t *Tracker) Empty() bool { return t.size.Load() == 0 }
 
