forward: the watchdog's timer starts once its field is set

Data race under -race in 1 of 4 runs of a new test with 12 requests at once: the check may read the timer before watch has stored it. The timer now starts after that. 6 of 6 runs pass under -race.

--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -89,7 +89,8 @@
 		conn:   conn, worker: worker, estimates: x.options.Workers.LatencyEstimates(x.service), minIdleTimeout: minIdleTimeout, waitForDeadline: waitForDeadline, repeatable: x.route.Repeatable(), movable: x.mayMove(worker.Key()),
 		sentAt: now, lastReceived: now, priority: x.priority(), cancel: cancel,
 	}
-	w.timer = time.AfterFunc(w.idleTimeout(), func() { w.check(ctx) })
+	w.timer = time.AfterFunc(time.Hour, func() { w.check(ctx) })
+	w.timer.Reset(w.idleTimeout()) // not before the field is set, which the check reads
 	return ctx, w
 }
 
