--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -147,7 +147,8 @@
 	seen             map[string]quarantine.Evidence // evidence at the send to each worker, by its key; zero values are left out
 	plannedEnds      []string                       // keys of workers that were leaving when they closed the request's connection
 	lastBreak        time.Time                      // when a worker last closed the request's connection
-	endsAwaited      int                            // value of ended when the request last waited for other nodes
+	claimedKey       quarantine.Key                 // key under which the request has claimed a worker
+	claimedWorker    string                         // key of that worker; empty: none
 	ended            int                            // workers that ended while they ran the request
 	sends            int                            // number of sends so far
 	sendFailures     []string                       // outcome of each send that failed or was not made, for the log
@@ -181,7 +182,7 @@
 	defer done()
 	x := &exchange{Forwarder: f, request: request, out: out, startTime: time.Now(), clientCtx: ctx, lastEventID: request.LastEventID}
 	refusal := x.serve(ctx)
-	x.releaseSlot()
+	x.releaseWorker()
 	x.returnToLimit()
 	if refusal != nil {
 		x.resolveBreaks()
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		done, refusal := x.tryPlain(ctx, worker)
-		x.releaseSlot()
+		x.releaseWorker()
 		if done {
 			return refusal
 		}
--- a/internal/forward/presend.go
+++ b/internal/forward/presend.go
@@ -68,7 +68,7 @@
 		refusal = x.checkQuarantine() // time has passed since the choice
 	}
 	if refusal == nil && !cleared {
-		x.releaseSlot()
+		x.releaseWorker()
 	}
 	return worker, cleared, refusal
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -20,14 +20,13 @@
 
 // maxShareWait is how long the final answer of a request under which a worker ended waits until other nodes know of it. The
 // client's next try may reach one of them at once.
-const maxShareWait = 100 * time.Millisecond
+const maxShareWait = 250 * time.Millisecond
 
 // endingTime is how long a process may take to end after it closed a connection, on a busy machine.
 const endingTime = 30 * time.Millisecond
 
-// lastTrialPause is the pause before work is sent that is quarantined if its worker ends, too. It covers the time in which other nodes
-// find out that the worker has ended that ran it.
-const lastTrialPause = 50 * time.Millisecond
+// maxClaimWait is how long suspected work waits until other nodes know at which worker it will run.
+const maxClaimWait = 40 * time.Millisecond
 
 // keys identify the request's work over all tries of its client. They are computed when they are first needed, since a large
 // body takes some time to hash.
@@ -169,47 +168,57 @@
 }
 
 // chooseForSuspect chooses the worker of suspected work, or refuses it; nil: any worker may be chosen. All nodes choose the same
-// worker for the same work, so that concurrent requests for it end no more than one, and different workers for different works, so that
+// worker for the same work, so that concurrent requests for it end no more than one, and other workers for other suspected work, so that
 // work that ran beside fatal work is not sent to the next worker with it.
 func (x *exchange) chooseForSuspect(ctx context.Context) (*backend.Worker, *fault.Error) {
 	if !x.evidence.Suspect() {
 		return nil, nil
 	}
-	if x.evidence.LastTrial() {
-		x.awaitOtherEnds(ctx)
-	}
 	usable := x.usableWorkers()
 	if x.evidence.LastTrial() && len(usable) == 1 && x.options.Workers.Count(x.service) > 1 {
 		return nil, x.withRan(fault.Newf(fault.Unavailable, "retry after the delay in Retry-After",
 			"%d workers ended while they ran this work, and service %q has one usable worker left", x.evidence.Ends(), x.service).
 			WithRetryAfter(jitteredRetryAfter()))
 	}
-	for _, worker := range x.orderForSuspect(usable) {
-		if !slices.Contains(x.excluded, worker.Key()) {
-			return worker, nil
-		}
+	ordered := slices.DeleteFunc(sortByScore(usable, x.evidence.Key().String()), func(worker *backend.Worker) bool {
+		return slices.Contains(x.excluded, worker.Key())
+	})
+	if worker := x.claimFirst(ctx, ordered); worker != nil || len(ordered) == 0 {
+		return worker, nil
+	}
+	if x.evidence.LastTrial() {
+		return nil, x.withRan(fault.Newf(fault.Unavailable, "retry after the delay in Retry-After",
+			"%d workers ended while they ran this work, and other such work runs at all usable workers of service %q", x.evidence.Ends(), x.service).
+			WithRetryAfter(jitteredRetryAfter()))
 	}
-	return nil, nil
+	return ordered[0], nil
 }
 
-// awaitOtherEnds waits, once after each end, until this node knows of the other works that the ended worker ran, and others know of
-// this one.
-func (x *exchange) awaitOtherEnds(ctx context.Context) {
-	if x.endsAwaited == x.ended {
-		return
+// claimFirst claims the first worker that no other suspected work has claimed; nil: none could be claimed.
+func (x *exchange) claimFirst(ctx context.Context, workers []*backend.Worker) *backend.Worker {
+	ctx, cancel := context.WithTimeout(ctx, maxClaimWait)
+	defer cancel()
+	key := x.evidence.Key()
+	for _, worker := range workers {
+		if x.options.Quarantine.Claimed(key, worker.Key()) {
+			continue
+		}
+		if x.options.Quarantine.Claim(ctx, key, worker.Key()) {
+			x.claimedKey, x.claimedWorker = key, worker.Key()
+			return worker
+		}
+		x.options.Quarantine.EndClaim(key, worker.Key())
 	}
-	x.endsAwaited = x.ended
-	_ = timing.Sleep(ctx, lastTrialPause)
+	return nil
 }
 
-// orderForSuspect orders the workers as suspected work tries them. On their last trials, works of which this node knows try
-// different workers.
-func (x *exchange) orderForSuspect(workers []*backend.Worker) []*backend.Worker {
-	key := x.evidence.Key()
-	if rank, count, ok := x.options.Quarantine.Rank(key); ok && x.evidence.LastTrial() {
-		return everyNth(sortByScore(workers, x.service), rank, count)
+// releaseWorker releases what the request holds at the worker that it was sent to.
+func (x *exchange) releaseWorker() {
+	x.releaseSlot()
+	if x.claimedWorker != "" {
+		x.options.Quarantine.EndClaim(x.claimedKey, x.claimedWorker)
+		x.claimedWorker = ""
 	}
-	return sortByScore(workers, key.String())
 }
 
 // sortByScore sorts workers by the hash of their keys and seed (rendezvous hashing): all nodes that list the same workers compute the
@@ -221,17 +230,6 @@
 	return workers
 }
 
-// everyNth returns each step-th worker from the first position on, or if there are fewer workers than that, one of them.
-func everyNth(workers []*backend.Worker, first, step int) (chosen []*backend.Worker) {
-	if len(workers) == 0 {
-		return nil
-	}
-	for index := first % len(workers); index < len(workers); index += step {
-		chosen = append(chosen, workers[index])
-	}
-	return chosen
-}
-
 // usableWorkers returns the warm workers of the service that may get the request and have not failed at this node lately. Those of
 // other regions are left out unless there are no others.
 func (x *exchange) usableWorkers() []*backend.Worker {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		done, refusal := x.tryStream(ctx, worker, perEvent)
-		x.releaseSlot()
+		x.releaseWorker()
 		if done {
 			return refusal
 		}
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -53,14 +53,6 @@
 // list returns the keys in a fixed order; those that are not set are zero.
 func (k Keys) list() [keyKinds]Key { return [keyKinds]Key{k.Content, k.Turn, k.Program} }
 
-// specific returns the key that differs between works.
-func (k Keys) specific() Key {
-	if k.Turn != 0 {
-		return k.Turn
-	}
-	return k.Content
-}
-
 // hash returns the hash of texts, each with its length, and a number.
 func hash(kind string, number uint64, texts ...string) Key {
 	digest := xxhash.New()
--- a/internal/quarantine/replicate.go
+++ b/internal/quarantine/replicate.go
@@ -16,10 +16,8 @@
 )
 
 const (
-	// minShareTimeout and maxShareTimeout bound the timeout of a message to another node; within them it follows the observed
-	// response times of that node.
-	minShareTimeout = 40 * time.Millisecond
-	maxShareTimeout = 250 * time.Millisecond
+	// shareTimeout is the timeout of a message to another node. It covers short pauses of a busy one.
+	shareTimeout = 250 * time.Millisecond
 	// syncPeriod is the time between comparisons with another node. They find what messages have missed, and tell that node that this
 	// one wants to hear of changes.
 	syncPeriod = 5 * time.Second
@@ -48,6 +46,7 @@
 // ShareRequest tells another node of changes, or asks for what it knows. It is sent with gob, so its fields keep their names.
 type ShareRequest struct {
 	Entries []Entry
+	Claims  []Claim
 	// Subscriber is the sender if it wants to hear of changes and of what it does not know; empty: it only tells of changes.
 	Subscriber budget.Holder
 	// Digest is that of the subscriber's entries.
@@ -69,8 +68,6 @@
 	// Nodes returns the other nodes that this one knows.
 	Nodes func() []budget.Holder
 	Peers Peers
-	// ResponseTimes estimates the response times of other nodes; nil: the shortest timeouts are used.
-	ResponseTimes timing.TimeoutFunc
 	// OnSent is called with the number of nodes that a batch of changes has reached, and that it has not; may be nil.
 	OnSent func(reached, missed int)
 	Logger log.Interface
@@ -89,8 +86,8 @@
 
 // batch is a set of changes that are sent together.
 type batch struct {
-	entries []Entry
-	sent    chan struct{} // closed once each node has confirmed them or did not answer
+	changes
+	sent chan struct{} // closed once each node has confirmed them or did not answer
 }
 
 // NewReplicator returns a replicator of a tracker's changes. Run starts the comparisons with other nodes.
@@ -186,13 +183,14 @@
 }
 
 // publish sends changes of this node to others, in the background.
-func (r *Replicator) publish(changes []Entry) {
+func (r *Replicator) publish(changed changes) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.waiting == nil {
 		r.waiting = &batch{sent: make(chan struct{})}
 	}
-	r.waiting.entries = append(r.waiting.entries, changes...)
+	r.waiting.Entries = append(r.waiting.Entries, changed.Entries...)
+	r.waiting.Claims = append(r.waiting.Claims, changed.Claims...)
 	if len(r.sending) < maxPushes {
 		r.sending = append(r.sending, r.waiting)
 		go r.pushAll(r.waiting)
@@ -203,7 +201,7 @@
 // pushAll sends a batch, and then those that have waited for it.
 func (r *Replicator) pushAll(next *batch) {
 	for next != nil {
-		r.push(next.entries, append(r.otherNodes(), r.currentSubscribers()...))
+		r.push(next.changes, append(r.otherNodes(), r.currentSubscribers()...))
 		close(next.sent)
 		next = r.replaceSent(next)
 	}
@@ -239,8 +237,8 @@
 	}
 }
 
-// push sends entries to nodes, and waits until each has answered or its timeout has passed.
-func (r *Replicator) push(entries []Entry, nodes []budget.Holder) {
+// push sends changes to nodes, and waits until each has answered or its timeout has passed.
+func (r *Replicator) push(changed changes, nodes []budget.Holder) {
 	var reached, missed atomic.Int64
 	var group sync.WaitGroup
 	sentTo := map[string]bool{} // by address: an earlier process of a node may still be listed
@@ -250,7 +248,7 @@
 		}
 		sentTo[node.Address] = true
 		group.Go(func() {
-			answer, err := r.share(context.Background(), node, ShareRequest{Entries: entries})
+			answer, err := r.share(context.Background(), node, ShareRequest{Entries: changed.Entries, Claims: changed.Claims})
 			if err != nil {
 				missed.Add(1)
 				return
@@ -265,7 +263,7 @@
 
 // share sends a request to a node.
 func (r *Replicator) share(ctx context.Context, node budget.Holder, request ShareRequest) (ShareAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.options.ResponseTimes.For(node.Process, minShareTimeout, maxShareTimeout))
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	return r.options.Peers.ShareQuarantine(ctx, node, request)
 }
@@ -284,8 +282,13 @@
 
 // Handle answers the message of another node, and passes its news on to the nodes that have asked this one.
 func (r *Replicator) Handle(request ShareRequest) ShareAnswer {
-	news := r.learn(request.Subscriber, request.Entries)
-	if subscribers := r.currentSubscribers(); len(news) > 0 && len(subscribers) > 0 {
+	news := changes{Entries: r.learn(request.Subscriber, request.Entries)}
+	for _, claim := range request.Claims {
+		if r.options.Tracker.claims.apply(claim, time.Now()) {
+			news.Claims = append(news.Claims, claim)
+		}
+	}
+	if subscribers := r.currentSubscribers(); !news.empty() && len(subscribers) > 0 {
 		go r.push(news, subscribers)
 	}
 	if request.Subscriber == (budget.Holder{}) {
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -108,6 +108,12 @@
 	Key   Key
 	State State
 	Age   time.Duration // since the state was last changed
-	// Identifies: the key is the most specific one of its work. Different works differ in it.
-	Identifies bool
 }
+
+// changes are what a node tells others.
+type changes struct {
+	Entries []Entry
+	Claims  []Claim
+}
+
+func (c changes) empty() bool { return len(c.Entries) == 0 && len(c.Claims) == 0 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,31 +20,34 @@
 
 // Tracker holds what this node knows of suspected and quarantined work. It is safe for concurrent use.
 type Tracker struct {
-	// onChange is called with the entries that this node has changed, without the mutex; nil: nobody is told.
-	onChange func([]Entry)
+	// onChange is called with what this node has changed, without the mutex; nil: nobody is told.
+	onChange func(changes)
 	// flush waits until other nodes know of the changes; nil likewise.
 	flush func(context.Context)
 
-	loading atomic.Bool  // this node has just started and may not know what others know
+	loading atomic.Bool // this node has just started and may not know what others know
 	created time.Time
 	lastRun atomic.Int64 // when the process last noted that it runs, in nanoseconds since created; 0: it does not note it
 	size    atomic.Int64 // of entries
 	mutex   sync.Mutex
 	entries map[Key]*record
 	sweptAt time.Time // when lapsed entries were last removed
+
+	claims claims
 }
 
 // record is the state of a key and when it was last changed.
 type record struct {
-	state      State
-	changedAt  time.Time
-	identifies bool
+	state     State
+	changedAt time.Time
 }
 
 func (r *record) lapsed(now time.Time) bool { return now.Sub(r.changedAt) >= r.state.ttl() }
 
 // NewTracker returns a tracker that knows of no ends.
-func NewTracker() *Tracker { return &Tracker{created: time.Now(), entries: map[Key]*record{}} }
+func NewTracker() *Tracker {
+	return &Tracker{created: time.Now(), claims: claims{node: rand.Uint64()}, entries: map[Key]*record{}}
+}
 
 // Loading reports whether this node has just started and may not know yet what others know. It ends within startTimeout.
 func (t *Tracker) Loading() bool { return t.loading.Load() }
@@ -98,12 +102,11 @@
 			continue
 		}
 		known := t.recordOf(key, now)
-		known.identifies = known.identifies || key == keys.specific()
 		known.state, known.changedAt = known.state.afterEnd(seen.states[index]), now
 		changed = append(changed, known.entry(key, now))
 	}
 	t.mutex.Unlock()
-	t.publish(changed)
+	t.publish(changes{Entries: changed})
 	return t.Evidence(keys)
 }
 
@@ -123,7 +126,7 @@
 		}
 	}
 	t.mutex.Unlock()
-	t.publish(changed)
+	t.publish(changes{Entries: changed})
 	return len(changed) > 0
 }
 
@@ -141,7 +144,6 @@
 		}
 		known := t.recordOf(entry.Key, now)
 		known.state, known.changedAt = entry.State, now.Add(-entry.Age)
-		known.identifies = known.identifies || entry.Identifies
 		news = append(news, entry)
 	}
 	return news
@@ -162,27 +164,6 @@
 	return entries
 }
 
-// Rank returns the position of a work's key among the keys of all works on their last trial, and the number of these. Nodes that know
-// the same works rank them alike. ok is false if the key does not tell works apart.
-func (t *Tracker) Rank(key Key) (rank, count int, ok bool) {
-	now := time.Now()
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if known := t.entries[key]; known == nil || !known.identifies {
-		return 0, 0, false
-	}
-	for other, known := range t.entries {
-		if !known.identifies || known.lapsed(now) || known.state.atAge(now.Sub(known.changedAt)).Ends != MaxEnds-1 {
-			continue
-		}
-		count++
-		if other < key {
-			rank++
-		}
-	}
-	return rank, max(count, 1), true
-}
-
 // Count returns the number of suspected keys and of quarantined keys.
 func (t *Tracker) Count() (suspected, quarantined int) {
 	now := time.Now()
@@ -208,8 +189,8 @@
 	return sum
 }
 
-func (t *Tracker) publish(changed []Entry) {
-	if t.onChange != nil && len(changed) > 0 {
+func (t *Tracker) publish(changed changes) {
+	if t.onChange != nil && !changed.empty() {
 		t.onChange(changed)
 	}
 }
@@ -269,7 +250,7 @@
 }
 
 func (r *record) entry(key Key, now time.Time) Entry {
-	return Entry{Key: key, State: r.state, Age: now.Sub(r.changedAt), Identifies: r.identifies}
+	return Entry{Key: key, State: r.state, Age: now.Sub(r.changedAt)}
 }
 
 // Quarantined returns the entries of quarantined keys, in ascending order of the keys.
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -20,7 +20,7 @@
 func newQuarantineReplicator(options Options, tracker *quarantine.Tracker, peers *peers, dir *directory.Directory) *quarantine.Replicator {
 	replicator := quarantine.NewReplicator(quarantine.Options{
 		Tracker: tracker, Self: options.self(), Nodes: dir.Owners, Peers: peers.client,
-		ResponseTimes: peers.client.timeout, OnSent: options.Metrics.QuarantineSent, Logger: options.Logger,
+		OnSent: options.Metrics.QuarantineSent, Logger: options.Logger,
 	})
 	peer.Handle(peers.mux, methodShareQuarantine, func(_ context.Context, request quarantine.ShareRequest) (quarantine.ShareAnswer, error) {
 		return replicator.Handle(request), nil
