--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,14 +12,11 @@
 	"github.com/cloverwheel/cloverwheel/internal/admission"
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/budget"
-	"github.com/cloverwheel/cloverwheel/internal/capacity"
-	"github.com/cloverwheel/cloverwheel/internal/eligibility"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/scheduling"
-	"github.com/cloverwheel/cloverwheel/internal/tenant"
 	"github.com/cloverwheel/cloverwheel/internal/timing"
 )
 
@@ -123,59 +120,6 @@
 // jitteredRetryAfter returns a retry delay that differs between clients, so that they do not all come back at once.
 func jitteredRetryAfter() time.Duration { return retryAfter + rand.N(retryAfter) }
 
-// exchange is the state of one request.
-type exchange struct {
-	*Forwarder
-	request          *Request
-	route            *route.Route
-	tenant           *tenant.Tenant // nil: the request needs no key
-	configAge        time.Duration  // age of the configuration at the last check of the key
-	limitTaken       bool           // the request was counted against the tenant's rate limit
-	service          string         // service that the request is sent to
-	home             string         // key of the worker that holds the program's context; empty: none
-	body             []byte         // as sent to workers: the history and the request body
-	out              Responder
-	startTime        time.Time
-	clock            stepClock
-	clientCtx        context.Context                // ends when the client disconnects
-	excluded         []string                       // keys of workers that must not be chosen
-	attempts         attempts                       // workers that may have run the request
-	attempted        []*backend.Worker              // those workers, for restart checks
-	prefixWorkers    []string                       // IDs of workers that cache the prompt's shared prefix
-	workKeys         *quarantine.Keys               // nil: not computed yet
-	evidence         quarantine.Evidence            // of ends under the work, as of the last check before a send
-	seen             map[string]quarantine.Evidence // evidence at the send to each worker, by its key; zero values are left out
-	plannedEnds      []string                       // keys of workers that were leaving when they closed the request's connection
-	lastBreak        time.Time                      // when a worker last closed the request's connection
-	claimedKey       quarantine.Key                 // key under which the request has claimed a worker
-	claimedWorker    string                         // key of that worker; empty: none
-	ended            int                            // workers that ended while they ran the request
-	sends            int                            // number of sends so far
-	sendFailures     []string                       // outcome of each send that failed or was not made, for the log
-	declines         int                            // number of sends that workers declined or had no connection for
-	slot             *capacity.Reservation          // capacity held at a worker; nil: none
-	placement        capacity.Placement             // result of the last capacity request
-	capacityWait     time.Duration                  // total time spent in capacity requests
-	coldAttempts     int                            // permissions requested for cold workers since the exclusions were last reset
-	coldRetryAfter   time.Duration                  // until a cold worker may take a request; 0: none was refused
-	lastWorker       string                         // key of the worker last sent to
-	crossRegion      backend.CrossRegionReason      // why that worker is in another region; empty: it is not
-	events           int                            // number of events relayed
-	versions         eligibility.Versions           // software versions that may serve the request
-	version          *string                        // the only one of them, which began the stream; nil: the stream has not begun
-	relayedBy        string                         // key of the worker whose event was relayed last; empty: none was
-	budgetDrawn      bool                           // this node had to draw tokens for the turn
-	budgetHandedOver bool                           // another node handed tokens over
-	budgetLocated    bool                           // the directory named the nodes to ask for tokens
-	budgetGranted    bool                           // the owner of a directory slot granted tokens
-	historyFromPeer  bool                           // another node returned the conversation history
-	headSent         bool                           // the head of a stream or long answer was sent
-	answered         bool                           // the client has its final answer
-	lastEventID      string                         // ID of the last event that the client has
-	output           []byte                         // the turn's output so far, to be stored
-	program          programState                   // state of the program that the turn belongs to
-}
-
 // Serve answers a request through out, exactly once. ctx must end when the client disconnects.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, out Responder) {
 	done := f.countBeforeClosing()
@@ -245,118 +189,6 @@
 	return limit - deadlineMargin
 }
 
-// chooseWorker selects a worker, and waits a short time for one to become available.
-func (x *exchange) chooseWorker(ctx context.Context) (*backend.Worker, *fault.Error) {
-	maxWait := min(x.route.Objective/selectWaitDivisor, maxSelectWait)
-	for {
-		x.dropRestarted()
-		x.restrictVersions()
-		if refusal := x.checkQuarantine(); refusal != nil {
-			return nil, refusal
-		}
-		var only []string
-		if !x.mayRunElsewhere() {
-			only = x.attempts.counted
-		}
-		if len(only) == 0 {
-			worker, refusal := x.chooseForSuspect(ctx)
-			if refusal != nil {
-				return nil, refusal
-			}
-			if worker != nil {
-				x.takeSlot(worker)
-				return worker, nil
-			}
-		}
-		if worker, ok := x.options.Workers.TakeTrial(x.placementQuery(only)); ok {
-			x.takeSlot(worker)
-			return worker, nil
-		}
-		if worker := x.findCapacity(ctx, only); worker != nil {
-			return worker, nil
-		}
-		worker, err := x.options.Workers.Choose(x.placementQuery(only))
-		if err == nil {
-			x.takeSlot(worker)
-			return worker, nil
-		}
-		if refusal := x.checkServiceOpen(x.service, only); refusal != nil {
-			return nil, refusal
-		}
-		if refusal := x.checkVersionServed(); refusal != nil {
-			return nil, refusal
-		}
-		left := maxWait - time.Since(x.startTime)
-		hopeless := x.declines == 0 && x.coldRetryAfter > left // no warm worker can become available, and no cold one in time
-		if ctx.Err() != nil || left <= 0 || hopeless {
-			return nil, x.noWorkerError(err)
-		}
-		x.excluded, x.coldAttempts, x.coldRetryAfter = nil, 0, 0
-		_ = timing.Sleep(ctx, selectPollInterval)
-	}
-}
-
-// placementQuery describes the request for worker selection. If only is not empty, no other
-// worker may be chosen.
-func (x *exchange) placementQuery(only []string) backend.Query {
-	return backend.Query{
-		Only:          only,
-		Service:       x.service,
-		Home:          x.home,
-		Key:           x.affinityKey(),
-		SameObject:    x.request.Object != "",
-		Prompt:        x.request.PromptTokens,
-		Shared:        x.request.SharedTokens,
-		PrefixWorkers: x.prefixWorkers,
-		Output:        x.request.MaxOutputTokens,
-		Regions:       x.allowedRegions(),
-		Versions:      x.versions,
-		Retryable:     x.mayMove(""),
-		FirstTurn:     x.isFirstTurn(),
-		WarmOnly:      x.coldAttempts >= maxColdAttempts,
-		Exclude:       x.excluded,
-	}
-}
-
-// isFirstTurn reports whether the request starts a program and cannot have run anywhere.
-func (x *exchange) isFirstTurn() bool {
-	return x.route.Kind == route.Streaming && x.home == "" && x.request.PreviousTurn == "" && !x.attempts.any()
-}
-
-func (x *exchange) noWorkerError(err error) *fault.Error {
-	if x.options.Finder != nil {
-		x.options.Finder.RecordNoCapacity()
-	}
-	refusal := fault.From(err)
-	if x.declines > 0 {
-		refusal = fault.Newf(fault.Overloaded, "retry after the delay in Retry-After", "all workers of service %q are at capacity", x.service)
-	}
-	if x.coldRetryAfter > 0 {
-		refusal = fault.Newf(fault.Overloaded, "retry after the delay in Retry-After",
-			"service %q has no warm worker with free capacity, and its cold workers are at their warm-up limit", x.service)
-	}
-	if x.attempts.any() {
-		return refusal.WithRan(fault.RanUnknown)
-	}
-	if x.coldRetryAfter > 0 {
-		return refusal.WithRetryAfter(x.coldRetryAfter + rand.N(retryAfter))
-	}
-	return refusal.WithRetryAfter(jitteredRetryAfter())
-}
-
-// affinityKey returns the key by which related requests are sent to the same worker: of the
-// object, else the program, else the request.
-func (x *exchange) affinityKey() string {
-	switch {
-	case x.request.Object != "":
-		return x.request.Object
-	case x.request.Program != "" && x.route.Kind == route.Streaming:
-		return x.tenant.Scope(x.request.Program)
-	default:
-		return x.request.ID
-	}
-}
-
 // send sends the call to a worker. The watchdog may cancel ctx.
 func (x *exchange) send(ctx context.Context, worker *backend.Worker) (*Answer, error) {
 	x.sends++
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -11,15 +11,11 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/deadconn"
-	"github.com/cloverwheel/cloverwheel/internal/timing"
 )
 
 // ErrNotWritten is in the chain of errors of requests of which no byte was written.
@@ -42,13 +38,6 @@
 	idleGrowthDivisor = 20
 )
 
-const (
-	// endedProbes is the number of connections by which ProbeEnded finds out whether a peer has ended, and endedProbePause the first
-	// pause between them; each doubles the one before, so that a successor that soon listens at the address is not taken for the peer.
-	endedProbes     = 6
-	endedProbePause = time.Millisecond
-)
-
 // Buffer sizes of a connection in bytes.
 const (
 	readBuffer  = 4 << 10
@@ -112,16 +101,6 @@
 	timeoutExtended bool      // the guard's timeout was extended for a long message
 }
 
-// Response is a response. The caller must call Close, whether or not it has read the body.
-type Response struct {
-	*http.Response
-	pool        *Pool
-	conn        *conn
-	stop        func() bool
-	done        bool
-	notReusable atomic.Bool
-}
-
 // Send writes the request and reads the response head. When ctx ends, the connection
 // is closed, also while the body is read. ErrNotWritten in the error's chain means that
 // no byte was written; without it, some may have been.
@@ -163,42 +142,6 @@
 	return c.writer.Flush()
 }
 
-// DisableReuse prevents the connection from being reused.
-func (r *Response) DisableReuse() { r.notReusable.Store(true) }
-
-// Close ends the exchange. The connection is reused only if readWhole is true, the
-// response allows it, and no further data was received.
-func (r *Response) Close(readWhole bool) {
-	if r.done {
-		return
-	}
-	r.done = true
-	if !r.stop() || !readWhole || r.notReusable.Load() || r.Response.Close || r.conn.reader.Buffered() > 0 {
-		r.conn.Conn.Close()
-		return
-	}
-	if limit, ok := keepAliveOf(r.Header); ok {
-		r.conn.keepAlive = limit
-	}
-	r.conn.answered, r.conn.lastReceived = true, time.Now()
-	r.pool.put(r.conn)
-}
-
-// keepAliveOf returns the timeout in a Keep-Alive header, or false if there is none.
-func keepAliveOf(header http.Header) (time.Duration, bool) {
-	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		seconds, err := strconv.Atoi(strings.TrimSpace(value))
-		if err == nil && seconds >= 0 {
-			return time.Duration(seconds) * time.Second, true
-		}
-	}
-	return 0, false
-}
-
 func (p *Pool) acquire(ctx context.Context) (*conn, error) {
 	for {
 		c := p.pop()
@@ -336,43 +279,6 @@
 	p.schedulePrune()
 }
 
-// Probe opens a connection and keeps it idle, or returns why that failed. A peer at its
-// connection limit is reachable: that is no error.
-func (p *Pool) Probe(ctx context.Context) error {
-	err := p.probe(ctx)
-	if errors.Is(err, ErrConnectionLimit) {
-		return nil
-	}
-	return err
-}
-
-// ProbeEnded is Probe for a peer that may have ended just now. While a process ends, its host may still accept connections and reset
-// them at once, so these are tried again a few times.
-func (p *Pool) ProbeEnded(ctx context.Context) error {
-	for index := range endedProbes - 1 {
-		if err := p.probe(ctx); !errors.Is(err, ErrConnectionLimit) {
-			return err
-		}
-		if err := timing.Sleep(ctx, endedProbePause<<index); err != nil {
-			return err
-		}
-	}
-	return p.Probe(ctx)
-}
-
-// probe opens a connection and keeps it idle.
-func (p *Pool) probe(ctx context.Context) error {
-	if p.options.OnProbe != nil {
-		p.options.OnProbe()
-	}
-	c, err := p.dial(ctx)
-	if err != nil {
-		return err
-	}
-	p.put(c)
-	return nil
-}
-
 // Close closes all idle connections. Connections in use are closed when they are returned.
 func (p *Pool) Close() {
 	p.mutex.Lock()
