--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
+	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/route"
@@ -213,6 +214,36 @@
 	})
 }
 
+// silentPeers are nodes that do not answer.
+type silentPeers struct{}
+
+func (silentPeers) ShareQuarantine(ctx context.Context, _ budget.Holder, _ quarantine.ShareRequest) (quarantine.ShareAnswer, error) {
+	<-ctx.Done()
+	return quarantine.ShareAnswer{}, ctx.Err()
+}
+
+// Guards against a node that serves before it knows what others know, and against one that waits for nodes that never answer.
+func TestStartedNodeRefusesUntilItKnowsWhatOthersKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, plainRoute(route.Safe, 1))
+		f.worker("w0", answers(http.StatusOK, "ok"))
+		replicator := quarantine.NewReplicator(quarantine.Options{
+			Tracker: f.forwarder.options.Quarantine, Self: budget.Holder{Process: "self", Address: "self"}, Peers: silentPeers{},
+			Nodes:  func() []budget.Holder { return []budget.Holder{{Process: "other", Address: "other"}} },
+			Logger: f.forwarder.options.Logger,
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		go replicator.Run(ctx)
+		got := f.serve(t.Context(), nil)
+		require.Equal(t, fault.RanNo, got.refusal.Ran)
+		require.Positive(t, got.refusal.RetryAfter)
+		time.Sleep(time.Second)
+		require.True(t, f.serve(t.Context(), nil).ended)
+		stop()
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against answers other than a final refusal to quarantined work, and against sends, reservations or waiting before it.
 func TestQuarantinedWorkIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantine/replicate.go
+++ b/internal/quarantine/replicate.go
@@ -268,14 +268,13 @@
 	return r.options.Peers.ShareQuarantine(ctx, node, request)
 }
 
-// learn takes over what another node knows, and logs which work is quarantined because of it.
+// learn takes over what another node knows, and logs how much work is quarantined because of it.
 func (r *Replicator) learn(from budget.Holder, entries []Entry) (news []Entry) {
 	news = r.options.Tracker.Merge(entries)
-	for _, entry := range news {
-		if entry.State.Ends >= MaxEnds {
-			r.options.Logger.WithField("from", from.Process).WithField("key", entry.Key.String()).
-				Warn("another node told that work is quarantined; it is refused here, too")
-		}
+	quarantined := slices.DeleteFunc(slices.Clone(news), func(entry Entry) bool { return entry.State.Ends < MaxEnds })
+	if len(quarantined) > 0 {
+		r.options.Logger.WithField("from", from.Process).WithField("keys", len(quarantined)).WithField("key", quarantined[0].Key.String()).
+			Warn("another node told that work is quarantined; it is refused here, too")
 	}
 	return news
 }
