A worker that takes connections for a moment after it ends counts before the work is sent to one worker too many

Its first worker still took a connection 5 ms after it closed the request's, so that its end was proven 120 ms later only, and a second worker was allowed meanwhile. Workers that closed a connection and are not known to have ended now count towards the limit: at it, the node looks once more, 30 ms after the break, before it sends the work again. TestWorkersThatEndSlowlyCount failed before (four workers).

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -80,6 +80,16 @@
 	return slices.Contains(a.broken, worker) && slices.Contains(a.counted, worker)
 }
 
+// unresolved returns the number of workers that closed a connection and are not known to have ended.
+func (a *attempts) unresolved() (count int) {
+	for _, worker := range a.counted {
+		if slices.Contains(a.broken, worker) {
+			count++
+		}
+	}
+	return count
+}
+
 // drop stops counting a worker.
 func (a *attempts) drop(worker, observed string) {
 	a.counted = slices.DeleteFunc(a.counted, func(counted string) bool { return counted == worker })
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -71,6 +71,10 @@
 		return nil
 	}
 	x.evidence = x.options.Quarantine.Evidence(x.keys())
+	if x.evidence.Ends()+x.attempts.unresolved() >= quarantine.MaxEnds {
+		x.resolveBreaks()
+		x.evidence = x.options.Quarantine.Evidence(x.keys())
+	}
 	if !x.evidence.Quarantined() {
 		return nil
 	}
@@ -105,8 +109,8 @@
 	}
 }
 
-// resolveBreaks finds out, before a failed request is answered, which of the workers that closed its connection have ended. The
-// first look may have come while a process was ending.
+// resolveBreaks finds out, before a failed request is answered or its work may be sent to one worker too many, which of the workers
+// that closed its connection have ended. The first look may have come while a process was ending.
 func (x *exchange) resolveBreaks() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialCheckTimeout)
 	defer cancel()
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -49,6 +49,26 @@
 	}
 }
 
+// Guards against a fourth worker for a request whose first worker still took connections for a moment after it closed the request's.
+func TestWorkersThatEndSlowlyCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, plainRoute(route.Safe, 2))
+		f.reachable = true
+		for index := range 12 {
+			id := fmt.Sprintf("w%d", index)
+			f.worker(id, func(ctx context.Context, call Call) (*Answer, error) {
+				if len(f.sent()) == 1 {
+					time.AfterFunc(20*time.Millisecond, func() { _, _ = f.ends(id)(ctx, call) })
+					return nil, io.ErrUnexpectedEOF
+				}
+				return f.ends(id)(ctx, call)
+			})
+		}
+		require.Equal(t, fault.WorkQuarantined, f.serve(t.Context(), nil).refusal.Code)
+		require.Len(t, f.ended, maxEnded)
+	})
+}
+
 // endUnder records ends of workers under the work of a request for /p/x with the given body.
 func (f *fixture) endUnder(body string, ends int) {
 	tracker := f.forwarder.options.Quarantine
