--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -7,7 +7,6 @@
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/capacity"
 	"github.com/cloverwheel/cloverwheel/internal/eligibility"
-	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/tenant"
 )
@@ -26,41 +25,34 @@
 	out              Responder
 	startTime        time.Time
 	clock            stepClock
-	clientCtx        context.Context                // ends when the client disconnects
-	excluded         []string                       // keys of workers that must not be chosen
-	attempts         attempts                       // workers that may have run the request
-	attempted        []*backend.Worker              // those workers, for restart checks
-	prefixWorkers    []string                       // IDs of workers that cache the prompt's shared prefix
-	workKeys         *quarantine.Keys               // nil: not computed yet
-	evidence         quarantine.Evidence            // of ends under the work, as of the last check before a send
-	seen             map[string]quarantine.Evidence // evidence at the send to each worker, by its key; zero values are left out
-	plannedEnds      []string                       // keys of workers that were leaving when they closed the request's connection
-	lastBreak        time.Time                      // when a worker last closed the request's connection
-	claimedKey       quarantine.Key                 // key under which the request has claimed a worker
-	claimedWorker    string                         // key of that worker; empty: none
-	ended            int                            // workers that ended while they ran the request
-	sends            int                            // number of sends so far
-	sendFailures     []string                       // outcome of each send that failed or was not made, for the log
-	declines         int                            // number of sends that workers declined or had no connection for
-	slot             *capacity.Reservation          // capacity held at a worker; nil: none
-	placement        capacity.Placement             // result of the last capacity request
-	capacityWait     time.Duration                  // total time spent in capacity requests
-	coldAttempts     int                            // permissions requested for cold workers since the exclusions were last reset
-	coldRetryAfter   time.Duration                  // until a cold worker may take a request; 0: none was refused
-	lastWorker       string                         // key of the worker last sent to
-	crossRegion      backend.CrossRegionReason      // why that worker is in another region; empty: it is not
-	events           int                            // number of events relayed
-	versions         eligibility.Versions           // software versions that may serve the request
-	version          *string                        // the only one of them, which began the stream; nil: the stream has not begun
-	relayedBy        string                         // key of the worker whose event was relayed last; empty: none was
-	budgetDrawn      bool                           // this node had to draw tokens for the turn
-	budgetHandedOver bool                           // another node handed tokens over
-	budgetLocated    bool                           // the directory named the nodes to ask for tokens
-	budgetGranted    bool                           // the owner of a directory slot granted tokens
-	historyFromPeer  bool                           // another node returned the conversation history
-	headSent         bool                           // the head of a stream or long answer was sent
-	answered         bool                           // the client has its final answer
-	lastEventID      string                         // ID of the last event that the client has
-	output           []byte                         // the turn's output so far, to be stored
-	program          programState                   // state of the program that the turn belongs to
+	clientCtx        context.Context           // ends when the client disconnects
+	excluded         []string                  // keys of workers that must not be chosen
+	attempts         attempts                  // workers that may have run the request
+	attempted        []*backend.Worker         // those workers, for restart checks
+	prefixWorkers    []string                  // IDs of workers that cache the prompt's shared prefix
+	suspicion        suspicion                 // ends of workers under the request's work
+	sends            int                       // number of sends so far
+	sendFailures     []string                  // outcome of each send that failed or was not made, for the log
+	declines         int                       // number of sends that workers declined or had no connection for
+	slot             *capacity.Reservation     // capacity held at a worker; nil: none
+	placement        capacity.Placement        // result of the last capacity request
+	capacityWait     time.Duration             // total time spent in capacity requests
+	coldAttempts     int                       // permissions requested for cold workers since the exclusions were last reset
+	coldRetryAfter   time.Duration             // until a cold worker may take a request; 0: none was refused
+	lastWorker       string                    // key of the worker last sent to
+	crossRegion      backend.CrossRegionReason // why that worker is in another region; empty: it is not
+	events           int                       // number of events relayed
+	versions         eligibility.Versions      // software versions that may serve the request
+	version          *string                   // the only one of them, which began the stream; nil: the stream has not begun
+	relayedBy        string                    // key of the worker whose event was relayed last; empty: none was
+	budgetDrawn      bool                      // this node had to draw tokens for the turn
+	budgetHandedOver bool                      // another node handed tokens over
+	budgetLocated    bool                      // the directory named the nodes to ask for tokens
+	budgetGranted    bool                      // the owner of a directory slot granted tokens
+	historyFromPeer  bool                      // another node returned the conversation history
+	headSent         bool                      // the head of a stream or long answer was sent
+	answered         bool                      // the client has its final answer
+	lastEventID      string                    // ID of the last event that the client has
+	output           []byte                    // the turn's output so far, to be stored
+	program          programState              // state of the program that the turn belongs to
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -9,11 +8,8 @@
 	"github.com/apex/log"
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
-	"github.com/cloverwheel/cloverwheel/internal/eligibility"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/httpconn"
-	"github.com/cloverwheel/cloverwheel/internal/id"
-	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/timing"
 )
@@ -25,13 +21,24 @@
 // endingTime is how long a process may take to end after it closed a connection, on a busy machine.
 const endingTime = 30 * time.Millisecond
 
-// maxClaimWait is how long suspected work waits until other nodes know at which worker it will run.
-const maxClaimWait = 40 * time.Millisecond
+// suspicion is what a request knows of ends of workers under its work.
+type suspicion struct {
+	keys        *quarantine.Keys               // nil: not computed yet
+	evidence    quarantine.Evidence            // as of the last check before a send
+	seen        map[string]quarantine.Evidence // evidence at the send to each worker, by its key; nil: nothing was known
+	plannedEnds []string                       // keys of workers that were leaving when they closed the request's connection
+	lastBreak   time.Time                      // when a worker last closed it
+	ended       int                            // workers that ended while they ran the request
+
+	// claimedWorker is the key of the worker that the request has claimed for its work, under claimedKey; empty: none.
+	claimedWorker string
+	claimedKey    quarantine.Key
+}
 
 // keys identify the request's work over all tries of its client. They are computed when they are first needed, since a large
 // body takes some time to hash.
 func (x *exchange) keys() quarantine.Keys {
-	if x.workKeys == nil {
+	if x.suspicion.keys == nil {
 		work := quarantine.Work{
 			Program:      x.request.Program,
 			Method:       x.request.Method,
@@ -45,9 +52,9 @@
 			work.Tenant = x.tenant.Name
 		}
 		keys := quarantine.KeysOf(work)
-		x.workKeys = &keys
+		x.suspicion.keys = &keys
 	}
-	return *x.workKeys
+	return *x.suspicion.keys
 }
 
 // workFields returns the fields by which log lines on the same work can be joined.
@@ -61,7 +68,7 @@
 
 // checkQuarantine refuses work under which too many workers have ended. It runs before each send.
 func (x *exchange) checkQuarantine() *fault.Error {
-	x.evidence = quarantine.Evidence{}
+	x.suspicion.evidence = quarantine.Evidence{}
 	if x.options.Quarantine.Loading() {
 		return x.withRan(fault.New(fault.Unavailable, "this node has just started and does not know yet which work ends workers",
 			"retry after the delay in Retry-After").WithRetryAfter(noConfigRetryAfter))
@@ -70,27 +77,27 @@
 	if x.options.Quarantine.Empty() {
 		return nil
 	}
-	x.evidence = x.options.Quarantine.Evidence(x.keys())
-	if x.evidence.Ends()+x.attempts.unresolved() >= quarantine.MaxEnds {
+	x.suspicion.evidence = x.options.Quarantine.Evidence(x.keys())
+	if x.suspicion.evidence.Ends()+x.attempts.unresolved() >= quarantine.MaxEnds {
 		x.resolveBreaks()
-		x.evidence = x.options.Quarantine.Evidence(x.keys())
+		x.suspicion.evidence = x.options.Quarantine.Evidence(x.keys())
 	}
-	if !x.evidence.Quarantined() {
+	if !x.suspicion.evidence.Quarantined() {
 		return nil
 	}
 	return x.withRan(fault.Newf(fault.WorkQuarantined, "change the request, or ask the operator to release the key",
-		"%d workers ended while they ran this work, and it is sent to no other one (key %s)", x.evidence.Ends(), x.evidence.Key()))
+		"%d workers ended while they ran this work, and it is sent to no other one (key %s)", x.suspicion.evidence.Ends(), x.suspicion.evidence.Key()))
 }
 
 // recordSeen records what was known of the work when it was sent to a worker.
 func (x *exchange) recordSeen(worker *backend.Worker) {
-	if !x.evidence.Suspect() && x.options.Quarantine.Empty() {
+	if !x.suspicion.evidence.Suspect() && x.options.Quarantine.Empty() {
 		return
 	}
-	if x.seen == nil {
-		x.seen = map[string]quarantine.Evidence{}
+	if x.suspicion.seen == nil {
+		x.suspicion.seen = map[string]quarantine.Evidence{}
 	}
-	x.seen[worker.Key()] = x.evidence
+	x.suspicion.seen[worker.Key()] = x.suspicion.evidence
 }
 
 // checkEnded finds out whether a worker that has closed the request's connection has ended.
@@ -98,9 +105,9 @@
 	if !httpconn.ClosedByPeer(err) {
 		return
 	}
-	x.lastBreak = time.Now()
+	x.suspicion.lastBreak = time.Now()
 	if worker.Leaving() {
-		x.plannedEnds = append(x.plannedEnds, worker.Key())
+		x.suspicion.plannedEnds = append(x.suspicion.plannedEnds, worker.Key())
 	}
 	limited, cancel := context.WithTimeout(ctx, dialCheckTimeout)
 	defer cancel()
@@ -119,7 +126,7 @@
 		if !x.attempts.closedBy(worker.Key()) {
 			continue
 		}
-		_ = timing.Sleep(ctx, endingTime-time.Since(x.lastBreak))
+		_ = timing.Sleep(ctx, endingTime-time.Since(x.suspicion.lastBreak))
 		if x.attempts.processEnded(worker.Key(), worker.Pool().ProbeEnded(ctx)) {
 			x.dropAttempt(worker, observedEnded)
 		}
@@ -128,14 +135,14 @@
 
 // recordEnd records that a worker has ended while it ran the request. The end of one that was leaving is not the request's fault.
 func (x *exchange) recordEnd(worker *backend.Worker, observed string) {
-	if slices.Contains(x.plannedEnds, worker.Key()) {
+	if slices.Contains(x.suspicion.plannedEnds, worker.Key()) {
 		return
 	}
-	seen := x.seen[worker.Key()]
-	if x.ended > 0 { // the sends of one request follow each other, whatever was known of their ends
+	seen := x.suspicion.seen[worker.Key()]
+	if x.suspicion.ended > 0 { // the sends of one request follow each other, whatever was known of their ends
 		seen = x.options.Quarantine.Evidence(x.keys())
 	}
-	x.ended++
+	x.suspicion.ended++
 	since := x.options.Quarantine.RecordEnd(x.keys(), seen)
 	x.options.Metrics.WorkersEnded.Inc()
 	entry := x.options.Logger.WithFields(log.Fields{
@@ -163,94 +170,10 @@
 
 // awaitEndsShared waits until other nodes know of the ends under this request.
 func (x *exchange) awaitEndsShared() {
-	if x.ended == 0 {
+	if x.suspicion.ended == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), maxShareWait)
 	defer cancel()
 	x.options.Quarantine.Flush(ctx)
 }
-
-// chooseForSuspect chooses the worker of suspected work, or refuses it; nil: any worker may be chosen. All nodes choose the same
-// worker for the same work, so that concurrent requests for it end no more than one, and other workers for other suspected work, so that
-// work that ran beside fatal work is not sent to the next worker with it.
-func (x *exchange) chooseForSuspect(ctx context.Context) (*backend.Worker, *fault.Error) {
-	if !x.evidence.Suspect() {
-		return nil, nil
-	}
-	usable := x.usableWorkers()
-	if x.evidence.LastTrial() && len(usable) == 1 && x.options.Workers.Count(x.service) > 1 {
-		return nil, x.withRan(fault.Newf(fault.Unavailable, "retry after the delay in Retry-After",
-			"%d workers ended while they ran this work, and service %q has one usable worker left", x.evidence.Ends(), x.service).
-			WithRetryAfter(jitteredRetryAfter()))
-	}
-	ordered := slices.DeleteFunc(sortByScore(usable, x.evidence.Key().String()), func(worker *backend.Worker) bool {
-		return slices.Contains(x.excluded, worker.Key())
-	})
-	if worker := x.claimFirst(ctx, ordered); worker != nil || len(ordered) == 0 {
-		return worker, nil
-	}
-	if x.evidence.LastTrial() {
-		return nil, x.withRan(fault.Newf(fault.Unavailable, "retry after the delay in Retry-After",
-			"%d workers ended while they ran this work, and other such work runs at all usable workers of service %q", x.evidence.Ends(), x.service).
-			WithRetryAfter(jitteredRetryAfter()))
-	}
-	return ordered[0], nil
-}
-
-// claimFirst claims the first worker that no other suspected work has claimed; nil: none could be claimed.
-func (x *exchange) claimFirst(ctx context.Context, workers []*backend.Worker) *backend.Worker {
-	ctx, cancel := context.WithTimeout(ctx, maxClaimWait)
-	defer cancel()
-	key := x.evidence.Key()
-	for _, worker := range workers {
-		if x.options.Quarantine.Claimed(key, worker.Key()) {
-			continue
-		}
-		if x.options.Quarantine.Claim(ctx, key, worker.Key()) {
-			x.claimedKey, x.claimedWorker = key, worker.Key()
-			return worker
-		}
-		x.options.Quarantine.EndClaim(key, worker.Key())
-	}
-	return nil
-}
-
-// releaseWorker releases what the request holds at the worker that it was sent to.
-func (x *exchange) releaseWorker() {
-	x.releaseSlot()
-	if x.claimedWorker != "" {
-		x.options.Quarantine.EndClaim(x.claimedKey, x.claimedWorker)
-		x.claimedWorker = ""
-	}
-}
-
-// sortByScore sorts workers by the hash of their keys and seed (rendezvous hashing): all nodes that list the same workers compute the
-// same order, and one that is missing does not change the order of the others.
-func sortByScore(workers []*backend.Worker, seed string) []*backend.Worker {
-	slices.SortFunc(workers, func(a, b *backend.Worker) int {
-		return cmp.Compare(id.Score(seed, b.Key()), id.Score(seed, a.Key()))
-	})
-	return workers
-}
-
-// usableWorkers returns the warm workers of the service that may get the request and have not failed at this node lately. Those of
-// other regions are left out unless there are no others.
-func (x *exchange) usableWorkers() []*backend.Worker {
-	query, now := x.placementQuery(nil), time.Now()
-	var near, far []*backend.Worker
-	for _, worker := range x.options.Workers.Workers(x.service) {
-		if x.options.Workers.Check(worker, x.restrictions()) != eligibility.Allowed || worker.Leaving() || worker.Avoided(now) {
-			continue
-		}
-		if distance, _ := x.options.Workers.Distance(worker, query); distance == locality.OtherRegion {
-			far = append(far, worker)
-			continue
-		}
-		near = append(near, worker)
-	}
-	if len(near) > 0 {
-		return near
-	}
-	return far
-}
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -247,7 +247,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, plainRoute(route.Safe, 1))
 		f.worker("w0", answers(http.StatusOK, "ok"))
-		replicator := quarantine.NewReplicator(quarantine.Options{
+		replicator := quarantine.NewReplicator(quarantine.ReplicatorOptions{
 			Tracker: f.forwarder.options.Quarantine, Self: budget.Holder{Process: "self", Address: "self"}, Peers: silentPeers{},
 			Nodes:  func() []budget.Holder { return []budget.Holder{{Process: "other", Address: "other"}} },
 			Logger: f.forwarder.options.Logger,
--- a/internal/quarantine/replicate.go
+++ b/internal/quarantine/replicate.go
@@ -61,8 +61,8 @@
 	ShareQuarantine(ctx context.Context, holder budget.Holder, request ShareRequest) (ShareAnswer, error)
 }
 
-// Options configures a Replicator. Tracker, Self, Nodes, Peers and Logger are required.
-type Options struct {
+// ReplicatorOptions configures a Replicator. Tracker, Self, Nodes, Peers and Logger are required.
+type ReplicatorOptions struct {
 	Tracker *Tracker
 	Self    budget.Holder
 	// Nodes returns the other nodes that this one knows.
@@ -76,7 +76,7 @@
 // Replicator exchanges what trackers know between nodes. A change is sent to all nodes that this one knows, which pass it on to the
 // nodes that have asked them: a node that has just started, or that few others know, hears of changes through those.
 type Replicator struct {
-	options Options
+	options ReplicatorOptions
 
 	mutex       sync.Mutex
 	subscribers map[budget.Holder]time.Time // until when they are told of changes
@@ -91,7 +91,7 @@
 }
 
 // NewReplicator returns a replicator of a tracker's changes. Run starts the comparisons with other nodes.
-func NewReplicator(options Options) *Replicator {
+func NewReplicator(options ReplicatorOptions) *Replicator {
 	if options.OnSent == nil {
 		options.OnSent = func(int, int) {}
 	}
--- a/internal/quarantine/replicate_test.go
+++ b/internal/quarantine/replicate_test.go
@@ -45,7 +45,7 @@
 	node := &testNode{cluster: c, holder: budget.Holder{Process: "z/" + name, Address: name}, tracker: NewTracker(), listed: listed}
 	c.nodes = append(c.nodes, node)
 	c.mutex.Unlock()
-	node.replicator = NewReplicator(Options{
+	node.replicator = NewReplicator(ReplicatorOptions{
 		Tracker: node.tracker, Self: node.holder, Nodes: node.known, Peers: node, Logger: &log.Logger{Handler: discard.New()},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -18,7 +18,7 @@
 // newQuarantineReplicator returns the replicator of what a node knows of work that ends workers, and registers its handler for
 // messages of other nodes.
 func newQuarantineReplicator(options Options, tracker *quarantine.Tracker, peers *peers, dir *directory.Directory) *quarantine.Replicator {
-	replicator := quarantine.NewReplicator(quarantine.Options{
+	replicator := quarantine.NewReplicator(quarantine.ReplicatorOptions{
 		Tracker: tracker, Self: options.self(), Nodes: dir.Owners, Peers: peers.client,
 		OnSent: options.Metrics.QuarantineSent, Logger: options.Logger,
 	})
