quarantine: a node that compares hands over what the other lacks; lines name the sender

An unlisted node that saw ends while it was cut off never told them: the answer to its comparison was empty, which was taken for agreement. TestEndsOfAnUnlistedNodeReachOthersAfterAPartition failed before. The answer now carries the other node's digest. The line on what another node told named no sender (from=).

--- a/internal/quarantine/replicate.go
+++ b/internal/quarantine/replicate.go
@@ -45,6 +45,7 @@
 
 // ShareRequest tells another node of changes, or asks for what it knows. It is sent with gob, so its fields keep their names.
 type ShareRequest struct {
+	From    string // process that sends it, for the log
 	Entries []Entry
 	Claims  []Claim
 	// Subscriber is the sender if it wants to hear of changes and of what it does not know; empty: it only tells of changes.
@@ -54,7 +55,11 @@
 }
 
 // ShareAnswer holds what the sender does not know yet: of the keys that it sent, or if it subscribes, of all.
-type ShareAnswer struct{ Entries []Entry }
+type ShareAnswer struct {
+	Entries []Entry
+	// Digest is that of all entries of the node that answers; 0 if the sender does not subscribe.
+	Digest uint64
+}
 
 // Peers sends messages to other nodes.
 type Peers interface {
@@ -154,8 +159,8 @@
 	if err != nil {
 		return false
 	}
-	r.learn(partner, answer.Entries)
-	if len(answer.Entries) > 0 { // the digests differed
+	r.learn(partner.Process, answer.Entries)
+	if r.options.Tracker.digest() != answer.Digest { // the other node lacks some
 		_, err = r.share(ctx, partner, ShareRequest{Entries: r.options.Tracker.Entries()})
 	}
 	return err == nil
@@ -254,7 +259,7 @@
 				return
 			}
 			reached.Add(1)
-			r.learn(node, answer.Entries)
+			r.learn(node.Process, answer.Entries)
 		})
 	}
 	group.Wait()
@@ -263,17 +268,18 @@
 
 // share sends a request to a node.
 func (r *Replicator) share(ctx context.Context, node budget.Holder, request ShareRequest) (ShareAnswer, error) {
+	request.From = r.options.Self.Process
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	return r.options.Peers.ShareQuarantine(ctx, node, request)
 }
 
 // learn takes over what another node knows, and logs how much work is quarantined because of it.
-func (r *Replicator) learn(from budget.Holder, entries []Entry) (news []Entry) {
+func (r *Replicator) learn(from string, entries []Entry) (news []Entry) {
 	news = r.options.Tracker.Merge(entries)
 	quarantined := slices.DeleteFunc(slices.Clone(news), func(entry Entry) bool { return entry.State.Ends < MaxEnds })
 	if len(quarantined) > 0 {
-		r.options.Logger.WithField("from", from.Process).WithField("keys", len(quarantined)).WithField("key", quarantined[0].Key.String()).
+		r.options.Logger.WithField("from", from).WithField("keys", len(quarantined)).WithField("key", quarantined[0].Key.String()).
 			Warn("another node told that work is quarantined; it is refused here, too")
 	}
 	return news
@@ -281,7 +287,7 @@
 
 // Handle answers the message of another node, and passes its news on to the nodes that have asked this one.
 func (r *Replicator) Handle(request ShareRequest) ShareAnswer {
-	news := changes{Entries: r.learn(request.Subscriber, request.Entries)}
+	news := changes{Entries: r.learn(request.From, request.Entries)}
 	for _, claim := range request.Claims {
 		if r.options.Tracker.claims.apply(claim, time.Now()) {
 			news.Claims = append(news.Claims, claim)
@@ -294,10 +300,11 @@
 		return ShareAnswer{Entries: r.options.Tracker.newerThan(request.Entries)}
 	}
 	r.subscribe(request.Subscriber)
-	if request.Digest == r.options.Tracker.digest() {
-		return ShareAnswer{}
+	digest := r.options.Tracker.digest()
+	if request.Digest == digest {
+		return ShareAnswer{Digest: digest}
 	}
-	return ShareAnswer{Entries: r.options.Tracker.Entries()}
+	return ShareAnswer{Entries: r.options.Tracker.Entries(), Digest: digest}
 }
 
 func (r *Replicator) subscribe(node budget.Holder) {
--- a/internal/quarantine/replicate_test.go
+++ b/internal/quarantine/replicate_test.go
@@ -251,3 +251,19 @@
 	require.False(t, tracker.claims.apply(ended, time.Now()))
 	require.False(t, tracker.Claimed(2, "w"))
 }
+
+// Guards against ends that only a node knows which others do not ask.
+func TestEndsOfAnUnlistedNodeReachOthersAfterAPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := &testCluster{}
+		cluster.start(t, true)
+		unlisted := cluster.start(t, false)
+		cluster.setCut(true, unlisted)
+		unlisted.tracker.end(workOf("fatal"))
+		unlisted.tracker.Flush(t.Context())
+		cluster.setCut(false, unlisted)
+		time.Sleep(4 * syncPeriod)
+		require.True(t, cluster.nodes[0].tracker.Evidence(workOf("fatal")).Suspect())
+		stopAll(cluster)
+	})
+}
--- a/internal/server/messages_test.go
+++ b/internal/server/messages_test.go
@@ -48,11 +48,12 @@
 		methodFindStream + "-request-1":    streamorigin.FindRequest{Stream: 7},
 		methodFindStream + "-answer-1":     streamorigin.FindAnswer{Found: true, Origin: streamorigin.Origin{Service: "s", Version: "v1", Worker: "w@1"}},
 		methodShareQuarantine + "-request-1": quarantine.ShareRequest{
+			From:       "p2",
 			Entries:    []quarantine.Entry{{Key: 7, State: quarantine.State{Generation: 2, Ends: 3, Trials: 1}, Age: time.Second}},
 			Claims:     []quarantine.Claim{{Key: 7, Worker: "w@1", Node: 5, Number: 9, Held: true}},
 			Subscriber: holder, Digest: 11,
 		},
-		methodShareQuarantine + "-answer-1": quarantine.ShareAnswer{Entries: []quarantine.Entry{{Key: 7, State: quarantine.State{Ends: 1}, Age: time.Second}}},
+		methodShareQuarantine + "-answer-1": quarantine.ShareAnswer{Digest: 11, Entries: []quarantine.Entry{{Key: 7, State: quarantine.State{Ends: 1}, Age: time.Second}}},
 		methodCapacity + "-answer-1":        capacity.Answer{Keeper: true, Outcome: capacity.OutcomeAssigned, Worker: "w@1", After: time.Second, Reason: capacity.ReasonHome, Busy: 0.5, Settled: true, Waiting: 2, HeldFor: time.Millisecond},
 	}
 }
