Review: a request that a worker refused runs twice after a late second answer (TWICE) is case 1; the lost long turn is case 2, the torn turn case 3

The long answer that is cut at a SIGTERM is no longer among the three cases; its stand-in stays (standins long-answer).

--- a/review/.standins/main.go
+++ b/review/.standins/main.go
@@ -12,6 +12,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*system) (broken bool, err error){
+	"second-answer": secondAnswer,
 	"long-turn":     longTurn,
 	"silent-worker": silentWorker,
 	"long-answer":   longAnswer,
--- a/review/.standins/system.go
+++ b/review/.standins/system.go
@@ -85,7 +85,7 @@
 		prefix := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		free := true
 		for _, port := range []int{portFront, portReady, portPeers, portMetrics, portStore, portWorker} {
-			for _, host := range []int{1, 2, 3, 100, 101, 102, 103, 200} {
+			for _, host := range []int{1, 2, 3, 4, 100, 101, 102, 103, 200} {
 				listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", prefix, host, port))
 				if err != nil {
 					free = false
@@ -133,7 +133,7 @@
 // addNodes starts the nodes for the first time.
 func (s *system) addNodes(count int) error {
 	for index := range count {
-		n := &node{system: s, name: fmt.Sprintf("front-%s-1", zoneNames[index%len(zoneNames)]), ip: fmt.Sprintf("%s.%d", s.prefix, index+1), zone: zoneNames[index%len(zoneNames)]}
+		n := &node{system: s, name: fmt.Sprintf("front-%s-%d", zoneNames[index%len(zoneNames)], 1+index/len(zoneNames)), ip: fmt.Sprintf("%s.%d", s.prefix, index+1), zone: zoneNames[index%len(zoneNames)]}
 		s.nodes = append(s.nodes, n)
 	}
 	for _, n := range s.nodes {
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 root=$(cd "$here/../.." && pwd)
 cd "$root" || exit 2
 [ -x target/cloverwheeld ] && [ -x target/standins ] || { echo "build the programs first: the build line of deploy/system.toml, then review/build.sh"; exit 2; }
-exec target/standins torn-turn "$root" "$here/record.txt"
+exec target/standins long-turn "$root" "$here/record.txt"
