--- a/review/.standins/secondanswer.go
+++ b/review/.standins/secondanswer.go
@@ -17,6 +17,9 @@
 	// garbleX and garbleFor are doses of the site file: { kind = "garble", how = "extra late", share = 0.6, x = 0.03, for_s = 5.0 }.
 	garbleX   = 0.03
 	garbleFor = 5 * time.Second
+	// garbleTimes is how often the disruption comes, at one worker and the other by turns, and garbleGap the time between.
+	garbleTimes = 4
+	garbleGap   = 2 * time.Second
 
 	shedSlots   = 6
 	shedQueue   = 2
@@ -150,7 +153,7 @@
 	w.garbling = garbling
 }
 
-// secondAnswer: clients keep two workers at the limit of what they take. One worker sends a second answer, late, after some refusals.
+// secondAnswer: clients keep two workers at the limit of what they take. One of them at a time sends a second answer, late, after some refusals.
 func secondAnswer(s *system) (broken bool, err error) {
 	unsafe := map[string]any{"name": "r-unsafe", "host": hostName, "pathPrefix": "/puxa403/", "kind": "unsafe", "timeoutMs": 2000, "targetMs": 200, "priority": 2, "service": "wuno96b", "maxAttempts": 2}
 	if err := s.startStore(configuration(7, unsafe)); err != nil {
@@ -180,7 +183,7 @@
 	var mutex sync.Mutex
 	var outcomes []outcome
 	var group sync.WaitGroup
-	end := time.Now().Add(garbleFor + time.Second)
+	end := time.Now().Add(garbleTimes * (garbleFor + garbleGap))
 	for index := range shedClients {
 		group.Go(func() {
 			n := s.nodes[index%len(s.nodes)]
@@ -194,12 +197,16 @@
 			}
 		})
 	}
-	if s.trouble { // at one of two workers, which is within garbleShare
-		time.Sleep(500 * time.Millisecond)
-		s.note("worker %s begins to send second answers", shedding[0].id)
-		shedding[0].setGarbling(true)
+	for occasion := range garbleTimes {
+		time.Sleep(garbleGap / 2)
+		one := shedding[occasion%len(shedding)] // one of two: within the share of 0.6
+		if s.trouble {
+			s.note("worker %s begins to send second answers", one.id)
+		}
+		one.setGarbling(s.trouble)
 		time.Sleep(garbleFor)
-		shedding[0].setGarbling(false)
+		one.setGarbling(false)
+		time.Sleep(garbleGap / 2)
 	}
 	group.Wait()
 	time.Sleep(500 * time.Millisecond)
