--- a/review/.standins/longturn.go
+++ b/review/.standins/longturn.go
@@ -151,6 +151,7 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	s.note("long: %d tries in %v, reached a worker with the right body: %v, wrong bodies: %d; other turns of the last 4 s: %d of %d served", long.tries, recovery, long.reached, long.wrongBodies, lateServed, late)
+	noteRuns(s)
 	wrong := long.wrongBodies
 	for _, other := range others {
 		wrong += other.wrongBodies
--- a/review/.standins/secondanswer.go
+++ b/review/.standins/secondanswer.go
@@ -216,6 +216,7 @@
 		if one.got.status == http.StatusOK {
 			served++
 		}
+		s.note("sent %s to %s: status %d, whole %v, after %d ms; %s", one.id, one.node, one.got.status, one.got.whole, one.got.took.Milliseconds(), describeRuns(s, runs))
 		if len(runs) > 1 {
 			twice++
 			s.note("TWICE: request %s ran %d times, at %s and %s, %d ms apart; the client of %s got %s", one.id, len(runs), runs[0].worker, runs[1].worker, runs[1].at.Sub(runs[0].at).Abs().Milliseconds(), one.node, one.got.describe())
--- a/review/.standins/tornturn.go
+++ b/review/.standins/tornturn.go
@@ -138,5 +138,6 @@
 			return false, fmt.Errorf("a turn after one that never was ran")
 		}
 	}
+	noteRuns(s)
 	return broken, nil
 }
--- a/review/.standins/worker.go
+++ b/review/.standins/worker.go
@@ -105,6 +105,25 @@
 	return runs
 }
 
+// describeRuns says where and when the runs of a request began, for the record.
+func describeRuns(s *system, runs []run) string {
+	if len(runs) == 0 {
+		return "ran nowhere"
+	}
+	text := "ran at"
+	for _, one := range runs {
+		text += fmt.Sprintf(" %s from %.3f s", one.worker, one.at.Sub(s.begun).Seconds())
+	}
+	return text
+}
+
+// noteRuns writes all runs of all workers to the record.
+func noteRuns(s *system) {
+	for _, one := range allRuns(s.workers, "") {
+		s.note("run: %s %s %s, a body of %d bytes, after event %q, at %s from %.3f s; whole answer sent: %v", one.id, one.method, one.target, one.bodyBytes, one.lastEvent, one.worker, one.at.Sub(s.begun).Seconds(), one.whole)
+	}
+}
+
 const streamEvents = 10
 
 // eventData is the data of an event of a request's stream.
