A request is not sent again on a connection that carried it: a late second refusal counted as its answer (TWICE, REFUSED)

What callers saw: while a worker sent second, late answers, some 25 of 8,600 requests that may run once ran twice, 5 got 503 though they ran.

Cause: a refused request goes to the same worker again after 12 ms, under the same ID, and the pool handed out the connection that was used last, the one of the refusal. The late second refusal was taken for the answer to the new send.

Fix: a request remembers the connections of its sends, and no later send of it takes one of them. Other requests still do, so refusals under overload close no connections.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/capacity"
 	"github.com/cloverwheel/cloverwheel/internal/eligibility"
+	"github.com/cloverwheel/cloverwheel/internal/httpconn"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/tenant"
 )
@@ -32,6 +33,7 @@
 	prefixWorkers    []string                  // IDs of workers that cache the prompt's shared prefix
 	suspicion        suspicion                 // ends of workers under the request's work
 	sends            int                       // number of sends so far
+	used             httpconn.UsedConnections  // connections of those sends
 	sendFailures     []string                  // outcome of each send that failed or was not made, for the log
 	declines         int                       // number of sends that workers declined or had no connection for
 	slot             *capacity.Reservation     // capacity held at a worker; nil: none
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -200,6 +200,7 @@
 		Body:        x.body,
 		LastEventID: x.lastEventID,
 		Priority:    x.priority(),
+		Used:        &x.used,
 	}
 	x.reportSent()
 	if x.tenant != nil {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -15,6 +15,7 @@
 
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/httpconn"
 	"github.com/cloverwheel/cloverwheel/internal/tenant"
 )
 
@@ -59,6 +60,8 @@
 	Priority    int           // 0 is the most urgent
 	Tenant      string        // empty: the request needed no key
 	TimeLeft    time.Duration // time left until the deadline; 0: none
+	// Used are the connections on which the request was sent before. The transport uses none of them again, and adds its own.
+	Used *httpconn.UsedConnections
 }
 
 // Answer is a worker's answer. Close must be called.
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -105,7 +106,12 @@
 // is closed, also while the body is read. ErrNotWritten in the error's chain means that
 // no byte was written; without it, some may have been.
 func (p *Pool) Send(ctx context.Context, request *http.Request) (*Response, error) {
-	c, err := p.acquire(ctx)
+	return p.SendAgain(ctx, request, nil)
+}
+
+// SendAgain is Send for a request that may be sent several times. It uses none of the connections in used, and adds its own.
+func (p *Pool) SendAgain(ctx context.Context, request *http.Request, used *UsedConnections) (*Response, error) {
+	c, err := p.acquire(ctx, used)
 	if err != nil {
 		return nil, errors.Join(ErrNotWritten, err)
 	}
@@ -113,6 +119,7 @@
 		p.put(c)
 		return nil, errors.Join(ErrNotWritten, ctx.Err())
 	}
+	used.add(c)
 	sent := time.Now()
 	p.extendTimeout(c, request.ContentLength)
 	watchOf(ctx).start(c)
@@ -142,9 +149,10 @@
 	return c.writer.Flush()
 }
 
-func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+// acquire takes an idle connection that is not in used, or opens one.
+func (p *Pool) acquire(ctx context.Context, used *UsedConnections) (*conn, error) {
 	for {
-		c := p.pop()
+		c := p.pop(used)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -156,16 +164,17 @@
 	}
 }
 
-func (p *Pool) pop() *conn {
+// pop takes the idle connection that was used last of those not in used; nil: there is none.
+func (p *Pool) pop(used *UsedConnections) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
+	for index, c := range slices.Backward(p.idle) {
+		if !used.contains(c) {
+			p.idle = slices.Delete(p.idle, index, index+1)
+			return c
+		}
 	}
-	c := p.idle[last]
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
 // HasIdle reports whether an idle connection is available.
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -325,3 +325,27 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestRequestIsNotSentAgainOnItsConnection: a request that is sent again must go on another connection, where no late second
+// answer to it can arrive. Other requests reuse the first one.
+func TestRequestIsNotSentAgainOnItsConnection(t *testing.T) {
+	address, accepted := peer(t, []string{ok, ok, ok})
+	p := pool(address)
+	var used UsedConnections
+	sendAgain := func() {
+		answer, err := p.SendAgain(t.Context(), get(), &used)
+		require.NoError(t, err)
+		_, err = io.ReadAll(answer.Body)
+		require.NoError(t, err)
+		answer.Close(true)
+	}
+	sendAgain()
+	require.Equal(t, 1, accepted())
+	sendAgain()
+	require.Equal(t, 2, accepted())
+	for range 2 {
+		_, err := exchange(t, p)
+		require.NoError(t, err)
+	}
+	require.Equal(t, 2, accepted(), "the connections are still usable")
+}
