An answer without a request's ID counts only where no earlier request can have caused it

Kin of the late second refusals: after a whole answer, a refusal that names no request came in the place of the next answer and counted as that. The request ran, was sent to another worker and ran twice (or was answered 503).

Evidence: TestAnswerWithoutIDIsNotTakenForTheAnswer failed 3 of 3 before, on plain requests and streams; passes 20 of 20. The answer to the first request of a connection may still lack an ID (TestFirstAnswerMayLackID). Tests of platform: passed (201 s).

--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -18,6 +18,10 @@
 	notReusable atomic.Bool
 }
 
+// IsFirst reports whether its request was the first on the connection, so that no earlier request can have caused the response.
+// It may only be called before Close.
+func (r *Response) IsFirst() bool { return !r.conn.answeredBefore }
+
 // DisableReuse prevents the connection from being reused.
 func (r *Response) DisableReuse() { r.notReusable.Store(true) }
 
