--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -9,13 +9,10 @@
 	"context"
 	"encoding/gob"
 	"errors"
-	"net/url"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cloverwheel/cloverwheel/internal/locality"
@@ -26,18 +23,11 @@
 const Table = "turns"
 
 const (
-	// partCount is the number of partitions that turns are spread over.
-	partCount = 64
-	// placeCount is the number of places, in different partitions, where a turn may be
-	// stored. If one partition is down, the turn is written to the next place.
-	placeCount = 2
 	// writePlaceTimeout is the minimum time that a write waits for one place before it
 	// also tries the next. It is extended if the store is observed to be slower.
 	writePlaceTimeout = 150 * time.Millisecond
 	// readPlaceTimeout is the same for a read.
 	readPlaceTimeout = 100 * time.Millisecond
-	// maxRowBytes is the maximum size of a row. Larger turns are split over several rows.
-	maxRowBytes = 40 << 10
 	// maxParallelCalls limits the parallel reads or writes for one chain.
 	maxParallelCalls = 16
 )
@@ -178,60 +168,6 @@
 	return found.turn, err
 }
 
-func (s *TurnStore) readPlace(ctx context.Context, id string, place int) (*Turn, error) {
-	name := url.PathEscape(id)
-	page, err := s.options.Store.Range(ctx, Table, partOf(id, place), name, name+rowNameEnd, 0)
-	if err != nil || len(page.Rows) == 0 {
-		return nil, err
-	}
-	var joined []byte
-	for _, row := range page.Rows {
-		_, payload, err := store.SplitExpiry(row.Value)
-		if err != nil {
-			return nil, err
-		}
-		joined = append(joined, payload...)
-	}
-	turn := new(Turn)
-	err = gob.NewDecoder(bytes.NewReader(joined)).Decode(turn)
-	return turn, err
-}
-
-// Parts returns the names of the partitions that hold turns.
-func Parts() []string {
-	names := make([]string, partCount)
-	for part := range names {
-		names[part] = partName(uint64(part))
-	}
-	return names
-}
-
-func partName(part uint64) string { return "t" + strconv.FormatUint(part, 10) }
-
-// partOf returns the partition of one of a turn's places. The places of a turn lie in
-// different partitions.
-func partOf(id string, place int) string { return partName(partNumber(id, place)) }
-
-func partNumber(id string, place int) uint64 {
-	hash := xxhash.Sum64String(id)
-	step := 1 + (hash>>32)%(partCount-1)
-	return (hash + uint64(place)*step) % partCount
-}
-
-// The first row of a turn is named by the escaped ID, which contains no slash. Further
-// rows append a slash and their index. All of them sort before the escaped ID + rowNameEnd.
-const (
-	rowSeparator = "/"
-	rowNameEnd   = "0" // the byte that follows the slash
-)
-
-func rowName(id string, index int) string {
-	if index == 0 {
-		return url.PathEscape(id)
-	}
-	return url.PathEscape(id) + rowSeparator + strconv.Itoa(index)
-}
-
 // Write sets the expiry of a turn to retention from now, writes the turn and returns once
 // it is stored in one of its places. Turns of its chain that would expire well before it
 // are written again with the new expiry. Repeated writes are harmless because the content
@@ -288,18 +224,6 @@
 	}
 }
 
-func (t *Turn) putTransaction(encoded []byte, place int) store.Transaction {
-	part := partOf(t.ID, place)
-	var transaction store.Transaction
-	for index := 0; len(encoded) > 0; index++ {
-		piece := encoded[:min(maxRowBytes, len(encoded))]
-		encoded = encoded[len(piece):]
-		key := store.Key{Table: Table, Part: part, Name: rowName(t.ID, index)}
-		transaction.Put = append(transaction.Put, store.Row{Key: key, Value: store.WithExpiry(t.Expires, piece)})
-	}
-	return transaction
-}
-
 func (s *TurnStore) cachedTurn(id string) *Turn {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
