--- a/internal/history/rows.go
+++ b/internal/history/rows.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/gob"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -59,6 +62,13 @@
 	return url.PathEscape(id) + rowSeparator + strconv.Itoa(index)
 }
 
+// rowIndex returns the index in the name of a turn's row.
+func rowIndex(name string) int {
+	_, index, _ := strings.Cut(name, rowSeparator)
+	number, _ := strconv.Atoi(index) // the first row has no index
+	return number
+}
+
 // putTransaction returns the transaction that writes the encoded turn to one of its places.
 func (t *Turn) putTransaction(encoded []byte, place int) store.Transaction {
 	part := partOf(t.ID, place)
@@ -75,12 +85,19 @@
 // readPlace reads a turn from one place; nil: the place does not have it.
 func (s *TurnStore) readPlace(ctx context.Context, id string, place int) (*Turn, error) {
 	name := url.PathEscape(id)
-	page, err := s.options.Store.Range(ctx, Table, partOf(id, place), name, name+rowNameEnd, 0)
+	page, err := store.ReadAll(ctx, s.options.Store, Table, partOf(id, place), name, name+rowNameEnd)
 	if err != nil || len(page.Rows) == 0 {
 		return nil, err
 	}
+	return decodeRows(page.Rows)
+}
+
+// decodeRows decodes a turn from its rows. The table returns them in the order of their names, which is not that of their
+// indexes.
+func decodeRows(rows []store.Row) (*Turn, error) {
+	slices.SortFunc(rows, func(a, b store.Row) int { return cmp.Compare(rowIndex(a.Name), rowIndex(b.Name)) })
 	var joined []byte
-	for _, row := range page.Rows {
+	for _, row := range rows {
 		_, payload, err := store.SplitExpiry(row.Value)
 		if err != nil {
 			return nil, err
@@ -88,6 +105,6 @@
 		joined = append(joined, payload...)
 	}
 	turn := new(Turn)
-	err = gob.NewDecoder(bytes.NewReader(joined)).Decode(turn)
+	err := gob.NewDecoder(bytes.NewReader(joined)).Decode(turn)
 	return turn, err
 }
