--- a/internal/history/rows.go
+++ b/internal/history/rows.go
@@ -5,6 +5,9 @@
 	"cmp"
 	"context"
 	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
 	"net/url"
 	"slices"
 	"strconv"
@@ -49,7 +52,8 @@
 }
 
 // The first row of a turn is named by the escaped ID, which contains no slash. Further
-// rows append a slash and their index. All of them sort before the escaped ID + rowNameEnd.
+// rows append a slash and their index. They sort from the escaped ID + rowSeparator to the escaped ID + rowNameEnd; the first row
+// sorts before them, and so do turns whose ID begins with this one's, as "X-2" does with "X".
 const (
 	rowSeparator = "/"
 	rowNameEnd   = "0" // the byte that follows the slash
@@ -82,19 +86,54 @@
 	return transaction
 }
 
-// readPlace reads a turn from one place; nil: the place does not have it.
-func (s *TurnStore) readPlace(ctx context.Context, id string, place int) (*Turn, error) {
+// maxReadTries is how often the rows of a long turn are read while its renewal replaces them.
+const maxReadTries = 3
+
+// errTurnChanged reports that a turn was renewed between the reads of its rows, each time.
+var errTurnChanged = errors.New("the turn's rows changed while they were read; read them again")
+
+// readPlace reads a turn from one place; nil: the place does not have it. It reads the rows of this turn only: the names of
+// other turns may lie between them.
+func (s *TurnStore) readPlace(ctx context.Context, id string, place int) (turn *Turn, err error) {
+	part := partOf(id, place)
+	for range maxReadTries {
+		first, err := s.readFirstRow(ctx, part, id)
+		if err != nil || first.Version == 0 {
+			return nil, err
+		}
+		turn, err = decodeRows(id, []store.Row{first})
+		if !errors.Is(err, io.ErrUnexpectedEOF) {
+			return turn, err
+		}
+		name := url.PathEscape(id)
+		rest, err := store.ReadAll(ctx, s.options.Store, Table, part, name+rowSeparator, name+rowNameEnd)
+		if err != nil {
+			return nil, err
+		}
+		if isOneVersion(first, rest.Rows) {
+			return decodeRows(id, append(rest.Rows, first))
+		}
+	}
+	return nil, errTurnChanged
+}
+
+// readFirstRow reads the first row of a turn. Its version is zero if the part does not have it.
+func (s *TurnStore) readFirstRow(ctx context.Context, part, id string) (store.Row, error) {
 	name := url.PathEscape(id)
-	page, err := store.ReadAll(ctx, s.options.Store, Table, partOf(id, place), name, name+rowNameEnd)
-	if err != nil || len(page.Rows) == 0 {
-		return nil, err
+	page, err := s.options.Store.Range(ctx, Table, part, name, name+rowNameEnd, 1)
+	if err != nil || len(page.Rows) == 0 || page.Rows[0].Name != name {
+		return store.Row{}, err
 	}
-	return decodeRows(page.Rows)
+	return page.Rows[0], nil
 }
 
-// decodeRows decodes a turn from its rows. The table returns them in the order of their names, which is not that of their
-// indexes.
-func decodeRows(rows []store.Row) (*Turn, error) {
+// isOneVersion reports whether one transaction wrote all rows of a turn.
+func isOneVersion(first store.Row, rest []store.Row) bool {
+	return !slices.ContainsFunc(rest, func(row store.Row) bool { return row.Version != first.Version })
+}
+
+// decodeRows decodes the turn with the given ID from its rows, in any order. The error wraps io.ErrUnexpectedEOF if rows are missing.
+func decodeRows(id string, rows []store.Row) (*Turn, error) {
 	slices.SortFunc(rows, func(a, b store.Row) int { return cmp.Compare(rowIndex(a.Name), rowIndex(b.Name)) })
 	var joined []byte
 	for _, row := range rows {
@@ -105,6 +144,11 @@
 		joined = append(joined, payload...)
 	}
 	turn := new(Turn)
-	err := gob.NewDecoder(bytes.NewReader(joined)).Decode(turn)
-	return turn, err
+	if err := gob.NewDecoder(bytes.NewReader(joined)).Decode(turn); err != nil {
+		return nil, err
+	}
+	if turn.ID != id {
+		return nil, fmt.Errorf("the rows of turn %q hold turn %q; they are not used", id, turn.ID)
+	}
+	return turn, nil
 }
