The stand-in table keeps the published limits; lapsed rows are removed in transactions that the table accepts

Where a page had over 50 lapsed rows nothing was ever removed, and the partition grew. No test could see it: the stand-in had no such limit.

Evidence: with the limits in storetest.Table, TestOnlyExpiredRowsAreRemoved (unchanged) failed: 198 entries.

--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -34,7 +34,7 @@
 
 // Table is an in-memory store.Store. The zero value is not usable; see New.
 type Table struct {
-	// PageRows is the limit of rows in a Page; 0 means 500.
+	// PageRows is the limit of rows in a Page; 0 means maxPageRows.
 	PageRows int
 
 	mutex   sync.Mutex
@@ -53,9 +53,6 @@
 
 var _ store.Store = (*Table)(nil)
 
-// maxPageRows is the default limit of rows in a Page.
-const maxPageRows = 500
-
 // New returns an empty table.
 func New() *Table {
 	return &Table{rows: map[store.Key]store.Row{}, names: map[store.Key]int{}, changed: make(chan struct{})}
@@ -130,8 +127,11 @@
 	return err
 }
 
-// apply applies a transaction if its conditions hold.
+// apply applies a transaction if it is within the table's limits and its conditions hold.
 func (t *Table) apply(transaction store.Transaction) (store.Version, error) {
+	if err := checkLimits(transaction); err != nil {
+		return 0, err
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.commits++
@@ -207,7 +207,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.reads++
-	page := store.Page{Version: t.version}
+	page, bytes := store.Page{Version: t.version}, 0
 	if maxRows := cmp.Or(t.PageRows, maxPageRows); limit == 0 || limit > maxRows {
 		limit = maxRows
 	}
@@ -215,11 +215,13 @@
 		if key.Table != table || key.Part != part || key.Name < from || to != "" && key.Name >= to {
 			continue
 		}
-		if len(page.Rows) == limit {
+		row := t.rows[key]
+		bytes += rowBytes(row)
+		if len(page.Rows) == limit || bytes > maxPageBytes {
 			page.More = true
 			break
 		}
-		page.Rows = append(page.Rows, t.rows[key])
+		page.Rows = append(page.Rows, row)
 	}
 	return page, nil
 }
--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -24,8 +25,11 @@
 	// clockSkewMargin is how long rows are kept after they expire, because the clocks of nodes
 	// differ.
 	clockSkewMargin = time.Minute
-	// pageRows bounds the rows read, and deleted, at a time.
+	// pageRows bounds the rows read at a time.
 	pageRows = 100
+	// maxRemovedRows bounds the rows deleted at a time. Each takes two entries of a transaction, a condition and a
+	// removal, and a transaction may have 100.
+	maxRemovedRows = 50
 	// callTimeout bounds one call to the table.
 	callTimeout = 2 * time.Second
 )
@@ -96,22 +100,31 @@
 	return s.options.Store.Range(ctx, table, partition, from, "", pageRows)
 }
 
-// remove deletes the expired ones among the rows. If any of them has changed, it deletes none and
-// leaves them to a later scan.
-func (s *Sweeper) remove(ctx context.Context, rows []store.Row) (int, error) {
+// remove deletes the expired ones among the rows.
+func (s *Sweeper) remove(ctx context.Context, rows []store.Row) (removed int, err error) {
 	before := time.Now().Add(-clockSkewMargin)
-	var transaction store.Transaction
-	for _, row := range rows {
+	expired := slices.DeleteFunc(slices.Clone(rows), func(row store.Row) bool {
 		expires, _, err := store.SplitExpiry(row.Value)
-		if err == nil && expires.After(before) {
-			continue
+		return err == nil && expires.After(before)
+	})
+	for chunk := range slices.Chunk(expired, maxRemovedRows) {
+		count, err := s.removeUnchanged(ctx, chunk)
+		removed += count
+		if err != nil {
+			return removed, err
 		}
+	}
+	return removed, nil
+}
+
+// removeUnchanged deletes rows in one transaction. If any of them has changed, it deletes none and leaves
+// them to a later scan.
+func (s *Sweeper) removeUnchanged(ctx context.Context, rows []store.Row) (int, error) {
+	var transaction store.Transaction
+	for _, row := range rows {
 		transaction.Conditions = append(transaction.Conditions, store.Condition{Key: row.Key, Version: row.Version})
 		transaction.Remove = append(transaction.Remove, row.Key)
 	}
-	if len(transaction.Remove) == 0 {
-		return 0, nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := s.options.Store.Commit(ctx, transaction)
