--- /dev/null
+++ b/internal/forward/longanswer_test.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cloverwheel/cloverwheel/internal/route"
+)
+
+// piecewiseBody is the body of an answer that arrives in pieces, one after each pause, until ctx ends.
+type piecewiseBody struct {
+	ctx   context.Context
+	rest  []byte
+	piece int
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (b *piecewiseBody) Read(buffer []byte) (int, error) {
+	select {
+	case <-b.ctx.Done():
+		return 0, context.Cause(b.ctx)
+	case <-time.After(b.pause):
+	}
+	reader := bytes.NewReader(b.rest[:min(b.piece, len(b.rest))])
+	count, err := reader.Read(buffer)
+	b.rest = b.rest[count:]
+	return count, err
+}
+
+// TestLongAnswerIsRelayedWhole guards against an answer that is cut while its worker sends it, only because the whole of it takes longer
+// than a silent worker is waited for.
+func TestLongAnswerIsRelayedWhole(t *testing.T) {
+	const pieces = 40
+	for name, size := range map[string]int{"relayed as it arrives": 600_000, "read before it is passed on": 200_000} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, route.Route{Host: "h", PathPrefix: "/p/", Kind: route.Safe, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond, MaxAttempts: 2, Targets: []route.Target{{Service: "s", Weight: 1}}})
+				f.reachable = true
+				body := bytes.Repeat([]byte("0123456789"), size/10)
+				f.worker("w", func(ctx context.Context, _ Call) (*Answer, error) {
+					return answer(http.StatusOK, false, &piecewiseBody{ctx: ctx, rest: body, piece: size / pieces, pause: 50 * time.Millisecond}), nil
+				})
+				got := f.serve(t.Context(), nil)
+				require.True(t, got.ended, "the answer is complete")
+				require.Equal(t, len(body), got.body.Len())
+				require.Len(t, f.sent(), 1)
+			})
+		})
+	}
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -77,11 +77,12 @@
 	}
 	if repeatable {
 		watcher.received()
+		answer.Body = &watchedBody{Reader: answer.Body, watcher: watcher}
 	}
 	x.recordAttempt(worker)
 	release, buffered := x.reserveBuffer(answer)
 	if !buffered {
-		return true, x.relayAnswer(ctx, worker, answer, nil)
+		return true, x.relayAnswer(ctx, worker, watcher, answer, nil)
 	}
 	defer release()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswer+1))
@@ -89,7 +90,7 @@
 		return x.handleFailure(ctx, limited, worker, err)
 	}
 	if len(body) > maxBufferedAnswer {
-		return true, x.relayAnswer(ctx, worker, answer, body)
+		return true, x.relayAnswer(ctx, worker, watcher, answer, body)
 	}
 	answer.Close(true)
 	x.recordHarmless()
@@ -134,7 +135,7 @@
 }
 
 // relayAnswer relays an answer that is not buffered. prefix is what was already read of it.
-func (x *exchange) relayAnswer(ctx context.Context, worker *backend.Worker, answer *Answer, prefix []byte) *fault.Error {
+func (x *exchange) relayAnswer(ctx context.Context, worker *backend.Worker, watcher *watchdog, answer *Answer, prefix []byte) *fault.Error {
 	x.headSent = true
 	if err := x.out.WriteHead(answer.Status, answer.Header, answer.Length); err != nil {
 		return x.endedError(x.clientCtx)
@@ -143,7 +144,10 @@
 	piece := prefix
 	for {
 		if len(piece) > 0 {
-			if err := x.out.Write(piece); err != nil {
+			watcher.relaying.Store(true)
+			err := x.out.Write(piece)
+			watcher.delivered(time.Now())
+			if err != nil {
 				return x.endedError(x.clientCtx)
 			}
 		}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,6 +107,21 @@
 	w.worker.RecordServed(w.sentAt, w.priority)
 }
 
+// watchedBody is the body of an answer. It tells the watchdog of each piece that arrives.
+type watchedBody struct {
+	io.Reader
+	watcher *watchdog
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(buffer []byte) (int, error) {
+	count, err := b.Reader.Read(buffer)
+	if count > 0 {
+		b.watcher.received()
+	}
+	return count, err
+}
+
 // delivered records that the client has accepted the data. The idle time counts from now.
 func (w *watchdog) delivered(now time.Time) {
 	w.mutex.Lock()
