--- a/internal/forward/longanswer_test.go
+++ b/internal/forward/longanswer_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -55,3 +58,31 @@
 		})
 	}
 }
+
+// TestConnectionOfLongRefusalIsNotReused guards against taking what is left of a refusal for the answer to the next request: its
+// connection may be reused only if the whole refusal was read.
+func TestConnectionOfLongRefusalIsNotReused(t *testing.T) {
+	for name, c := range map[string]struct {
+		body  io.Reader
+		reuse bool
+	}{
+		"short":   {strings.NewReader("full"), true},
+		"long":    {strings.NewReader(strings.Repeat("0", 2*maxBufferedAnswer)), false},
+		"cut off": {iotest.ErrReader(io.ErrUnexpectedEOF), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, route.Route{Host: "h", PathPrefix: "/p/", Kind: route.Unsafe, Timeout: 3 * time.Second, Objective: 40 * time.Millisecond, MaxAttempts: 2, Targets: []route.Target{{Service: "s", Weight: 1}}})
+			var reused []bool
+			f.worker("w", func(context.Context, Call) (*Answer, error) {
+				if len(reused) > 0 {
+					return answer(http.StatusOK, false, strings.NewReader("ok")), nil
+				}
+				refusal := answer(http.StatusServiceUnavailable, false, c.body)
+				refusal.Declined, refusal.Close = true, func(whole bool) { reused = append(reused, whole) }
+				return refusal, nil
+			})
+			require.Equal(t, http.StatusOK, f.serve(t.Context(), nil).status)
+			require.Equal(t, c.reuse, reused[0])
+		})
+	}
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -170,8 +170,8 @@
 // handleDecline records that a worker did not run the request. It returns false: another worker
 // may be tried.
 func (x *exchange) handleDecline(worker *backend.Worker, answer *Answer) bool {
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxBufferedAnswer))
-	answer.Close(true)
+	skipped, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxBufferedAnswer))
+	answer.Close(err == nil && skipped < maxBufferedAnswer)
 	worker.RecordRefusal(time.Now())
 	x.slot.MarkDeclined()
 	x.recordSendFailure(worker, "declined")
