A long answer that is not a stream is passed on whole, not cut after 256 KB as if it were complete (MIXED)

Cause: on a route that streams, an answer of another type was read up to 256 KB, and what was read was answered with its length. A longer answer is relayed as it arrives.

--- a/internal/forward/longanswer_test.go
+++ b/internal/forward/longanswer_test.go
@@ -59,6 +59,17 @@
 	}
 }
 
+// TestLongAnswerThatIsNoStreamIsPassedOnWhole guards against a worker's long answer that is cut but looks complete: the route streams,
+// and the answer is not a stream.
+func TestLongAnswerThatIsNoStreamIsPassedOnWhole(t *testing.T) {
+	f := newFixture(t, route.Route{Host: "h", PathPrefix: "/p/", Kind: route.Streaming, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond, MaxAttempts: 2, Targets: []route.Target{{Service: "s", Weight: 1}}})
+	body := strings.Repeat("0123456789", 60_000)
+	f.worker("w", answers(http.StatusOK, body))
+	got := f.serve(t.Context(), nil)
+	require.True(t, got.ended)
+	require.Equal(t, len(body), got.body.Len())
+}
+
 // TestConnectionOfLongRefusalIsNotReused guards against taking what is left of a refusal for the answer to the next request: its
 // connection may be reused only if the whole refusal was read.
 func TestConnectionOfLongRefusalIsNotReused(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -89,7 +89,7 @@
 	}
 	x.recordAttempt(worker)
 	if answer.Status != http.StatusOK || !answer.Stream {
-		return x.handleNonStream(ctx, limited, worker, answer)
+		return x.handleNonStream(ctx, limited, worker, watcher, answer)
 	}
 	err = x.relayEvents(worker, watcher, answer, perEvent)
 	switch {
@@ -108,12 +108,16 @@
 }
 
 // handleNonStream handles an answer that is not a stream.
-func (x *exchange) handleNonStream(ctx, limited context.Context, worker *backend.Worker, answer *Answer) (bool, *fault.Error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswer))
+func (x *exchange) handleNonStream(ctx, limited context.Context, worker *backend.Worker, watcher *watchdog, answer *Answer) (bool, *fault.Error) {
+	answer.Body = &watchedBody{Reader: answer.Body, watcher: watcher}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswer+1))
 	if err != nil {
 		return x.handleFailure(ctx, limited, worker, err)
 	}
-	answer.Close(true)
+	if len(body) > maxBufferedAnswer && !x.headSent {
+		return true, x.relayAnswer(ctx, worker, watcher, answer, body)
+	}
+	answer.Close(len(body) <= maxBufferedAnswer)
 	x.recordHarmless()
 	failure := answer.Status >= http.StatusInternalServerError
 	if failure {
