Nodes compare quarantined keys within their region; with another region only where a change was missed, or after a start

Partners are now of the own region. So that regions still agree after a partition and after all nodes of one ended, a node compares with another region if a change has not reached it, or until one has answered since the start.

--- a/internal/quarantine/replicate.go
+++ b/internal/quarantine/replicate.go
@@ -73,6 +73,8 @@
 	// Nodes returns the other nodes that this one knows.
 	Nodes func() []budget.Holder
 	Peers Peers
+	// Location is where this node is; the zero value: there is one region.
+	Location locality.Location
 	// OnSent is called with the number of nodes that a batch of changes has reached, and that it has not; may be nil.
 	OnSent func(reached, missed int)
 	Logger log.Interface
@@ -87,6 +89,7 @@
 	subscribers map[budget.Holder]time.Time // until when they are told of changes
 	waiting     *batch                      // changes that no push has taken yet; nil: none
 	sending     []*batch
+	otherRegion otherRegions
 }
 
 // batch is a set of changes that are sent together.
@@ -154,6 +157,13 @@
 	if !ok {
 		return false
 	}
+	answered := r.compare(ctx, partner)
+	r.syncOtherRegion(ctx)
+	return answered
+}
+
+// compare exchanges entries with a node, and reports whether it answered.
+func (r *Replicator) compare(ctx context.Context, partner budget.Holder) bool {
 	request := ShareRequest{Subscriber: r.options.Self, Digest: r.options.Tracker.digest()}
 	answer, err := r.share(ctx, partner, request)
 	if err != nil {
@@ -166,25 +176,33 @@
 	return err == nil
 }
 
-// partner returns the node to compare with, mostly one of this node's zone.
+// partner returns the node of this region to compare with, mostly one of this node's zone. If the region has no other node, it is
+// one of another region.
 func (r *Replicator) partner() (budget.Holder, bool) {
-	nodes := r.otherNodes()
+	nodes := locality.PreferOwnRegion(r.options.Location, r.otherNodes(), zoneOf)
 	if near := slices.DeleteFunc(slices.Clone(nodes), r.isFar); len(near) > 0 && rand.IntN(syncFarOneIn) > 0 {
 		nodes = near
 	}
+	return anyOf(nodes)
+}
+
+// anyOf returns a random one of the nodes.
+func anyOf(nodes []budget.Holder) (budget.Holder, bool) {
 	if len(nodes) == 0 {
 		return budget.Holder{}, false
 	}
 	return nodes[rand.IntN(len(nodes))], true
 }
 
+func zoneOf(node budget.Holder) string { return locality.ZoneOf(node.Process) }
+
 // otherNodes returns the nodes that this one knows, without earlier processes at its own address.
 func (r *Replicator) otherNodes() []budget.Holder {
 	return slices.DeleteFunc(r.options.Nodes(), func(node budget.Holder) bool { return node.Address == r.options.Self.Address })
 }
 
 func (r *Replicator) isFar(node budget.Holder) bool {
-	return locality.ZoneOf(node.Process) != locality.ZoneOf(r.options.Self.Process)
+	return zoneOf(node) != zoneOf(r.options.Self)
 }
 
 // publish sends changes of this node to others, in the background.
@@ -256,6 +274,7 @@
 			answer, err := r.share(context.Background(), node, ShareRequest{Entries: changed.Entries, Claims: changed.Claims})
 			if err != nil {
 				missed.Add(1)
+				r.recordMissed(node)
 				return
 			}
 			reached.Add(1)
--- a/internal/quarantine/replicate_test.go
+++ b/internal/quarantine/replicate_test.go
@@ -15,14 +15,16 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
+	"github.com/cloverwheel/cloverwheel/internal/locality"
 )
 
 var errUnreachable = errors.New("the node does not answer")
 
 // testCluster is a set of nodes that exchange what they know. Messages take testDelay each way.
 type testCluster struct {
-	mutex sync.Mutex
-	nodes []*testNode
+	mutex          sync.Mutex
+	nodes          []*testNode
+	betweenRegions int // messages from one region to the other
 }
 
 const testDelay = time.Millisecond
@@ -40,13 +42,21 @@
 
 // start adds a node. Others know it if it is listed; it knows all that are.
 func (c *testCluster) start(t *testing.T, listed bool) *testNode {
+	return c.startIn(t, "z", listed)
+}
+
+// testZones are two zones in one region, and one in another.
+var testZones = locality.NewMap(map[string]string{"z": "one", "y": "one", "x": "other"})
+
+// startIn is start in a zone.
+func (c *testCluster) startIn(t *testing.T, zone string, listed bool) *testNode {
 	c.mutex.Lock()
 	name := fmt.Sprint("n", len(c.nodes))
-	node := &testNode{cluster: c, holder: budget.Holder{Process: "z/" + name, Address: name}, tracker: NewTracker(), listed: listed}
+	node := &testNode{cluster: c, holder: budget.Holder{Process: zone + "/" + name, Address: name}, tracker: NewTracker(), listed: listed}
 	c.nodes = append(c.nodes, node)
 	c.mutex.Unlock()
 	node.replicator = NewReplicator(ReplicatorOptions{
-		Tracker: node.tracker, Self: node.holder, Nodes: node.known, Peers: node, Logger: &log.Logger{Handler: discard.New()},
+		Tracker: node.tracker, Self: node.holder, Nodes: node.known, Peers: node, Location: locality.Location{Zones: testZones, Zone: zone}, Logger: &log.Logger{Handler: discard.New()},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	node.stop = cancel
@@ -72,6 +82,9 @@
 	index := slices.IndexFunc(n.cluster.nodes, func(node *testNode) bool { return node.holder == holder })
 	node := n.cluster.nodes[index]
 	passes := !n.cut && !node.cut
+	if locality.ZoneOf(n.holder.Process) == "x" != (locality.ZoneOf(holder.Process) == "x") {
+		n.cluster.betweenRegions++
+	}
 	n.cluster.mutex.Unlock()
 	if !passes {
 		<-ctx.Done()
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -19,7 +19,7 @@
 // messages of other nodes.
 func newQuarantineReplicator(options Options, tracker *quarantine.Tracker, peers *peers, dir *directory.Directory) *quarantine.Replicator {
 	replicator := quarantine.NewReplicator(quarantine.ReplicatorOptions{
-		Tracker: tracker, Self: options.self(), Nodes: dir.Owners, Peers: peers.client,
+		Tracker: tracker, Self: options.self(), Nodes: dir.Owners, Peers: peers.client, Location: options.Settings.location(),
 		OnSent: options.Metrics.QuarantineSent, Logger: options.Logger,
 	})
 	peer.Handle(peers.mux, methodShareQuarantine, func(_ context.Context, request quarantine.ShareRequest) (quarantine.ShareAnswer, error) {
