--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -168,16 +168,18 @@
 	return found.turn, err
 }
 
-// Write sets the expiry of a turn to retention from now, writes the turn and returns once
-// it is stored in one of its places. Turns of its chain that would expire well before it
-// are written again with the new expiry. Repeated writes are harmless because the content
-// of a turn never changes.
+// Write sets the expiry of a turn, writes the turn and returns once it is stored in one of its
+// places. The turn and its chain are kept for retention from now: a turn of the chain is written
+// again with the new expiry if it would expire more than half of the retention earlier, and all
+// are kept for as much longer. Repeated writes are harmless because the content of a turn never
+// changes.
 func (s *TurnStore) Write(ctx context.Context, turn *Turn, chain []*Turn, retention time.Duration) error {
-	turn.Expires = time.Now().Add(retention)
+	maxLag := retention / 2 // by which a turn of the chain may expire earlier
+	turn.Expires = time.Now().Add(retention + maxLag)
 	group, limited := errgroup.WithContext(ctx)
 	group.SetLimit(maxParallelCalls)
 	for _, earlier := range chain {
-		if turn.Expires.Sub(earlier.Expires) > retention/2 {
+		if turn.Expires.Sub(earlier.Expires) > maxLag {
 			group.Go(func() error { return s.renew(limited, earlier, turn.Expires) })
 		}
 	}
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -180,6 +180,30 @@
 	})
 }
 
+// TestChainIsKeptAsLongAsItsLastTurn guards against a chain that is removed before its last turn, whatever the retention is: an earlier
+// turn was not renewed because it was written less than half of the retention before.
+func TestChainIsKeptAsLongAsItsLastTurn(t *testing.T) {
+	for _, retention := range []time.Duration{time.Minute, 10 * time.Minute, 24 * time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			table := storetest.New()
+			sweeper := sweep.New(sweep.Options{Store: table})
+			require.NoError(t, newTestStore(table).Write(t.Context(), newTurn("a"), nil, retention))
+			time.Sleep(retention/2 - time.Second)
+			chain, err := newTestStore(table).Chain(t.Context(), "a")
+			require.NoError(t, err)
+			require.NoError(t, newTestStore(table).Write(t.Context(), newTurn("b", "a"), chain, retention))
+			time.Sleep(retention - time.Second)
+			for _, part := range Parts() {
+				_, err := sweeper.SweepPartition(t.Context(), Table, part)
+				require.NoError(t, err)
+			}
+			chain, err = newTestStore(table).Chain(t.Context(), "b")
+			require.NoError(t, err, "turns are kept for %v", retention)
+			require.Len(t, chain, 2)
+		})
+	}
+}
+
 // TestTurnsAreCachedOnlyInAllowedRegions guards against caching a turn outside the
 // regions that its content is restricted to.
 func TestTurnsAreCachedOnlyInAllowedRegions(t *testing.T) {
