--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -120,6 +120,11 @@
 // jitteredRetryAfter returns a retry delay that differs between clients, so that they do not all come back at once.
 func jitteredRetryAfter() time.Duration { return retryAfter + rand.N(retryAfter) }
 
+// NoConfigurationError returns the refusal of a node without a configuration, which cannot know what is allowed.
+func NoConfigurationError() *fault.Error {
+	return fault.New(fault.Unavailable, "this node has not loaded a configuration yet", "retry after the delay in Retry-After").WithRetryAfter(noConfigRetryAfter)
+}
+
 // Serve answers a request through out, exactly once. ctx must end when the client disconnects.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, out Responder) {
 	done := f.countBeforeClosing()
@@ -145,7 +150,7 @@
 func (x *exchange) serve(ctx context.Context) *fault.Error {
 	configuration := x.Configuration()
 	if configuration == nil {
-		return fault.New(fault.Unavailable, "this node has not loaded a configuration yet", "retry after the delay in Retry-After").WithRetryAfter(noConfigRetryAfter)
+		return NoConfigurationError()
 	}
 	x.route = configuration.Match(x.request.Host, x.request.Path)
 	if x.route == nil {
