--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -139,7 +139,21 @@
 	if err := c.write(request); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, request)
+	return c.readResponse(request)
+}
+
+// readResponse reads the head of the final response. It skips informational ones, which announce it.
+func (c *conn) readResponse(request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil || !isInformational(response.StatusCode) {
+			return response, err
+		}
+	}
+}
+
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
 func (c *conn) write(request *http.Request) error {
@@ -309,7 +323,7 @@
 	}
 	if errors.Is(err, io.EOF) {
 		var response *http.Response
-		response, err = http.ReadResponse(r.conn.reader, r.Request)
+		response, err = r.conn.readResponse(r.Request)
 		if err == nil {
 			next := &Response{Response: response, pool: r.pool, conn: r.conn, stop: r.stop}
 			next.DisableReuse()
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -349,3 +349,16 @@
 	}
 	require.Equal(t, 2, accepted(), "the connections are still usable")
 }
+
+// TestInformationalResponsesAreSkipped: a response that only announces another one must not be taken for it.
+func TestInformationalResponsesAreSkipped(t *testing.T) {
+	const continues, hints = "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	address, accepted := peer(t, []string{continues + hints + ok, ok})
+	p := pool(address)
+	for range 2 {
+		answer, err := exchange(t, p)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+	}
+	require.Equal(t, 1, accepted())
+}
