Silence of a worker does not end an answer that has begun and may not be repeated (LOST)

Cause: the watchdog gave up a worker that accepts connections after nine checks (three if overtaken), also where nobody may take the stream over, so that it was only cut. Evidence: TestSilentWorkerKeepsUnrepeatableStream (2.3 s of silence, deadline 5 s) failed before, passes 3 of 3. Before the first event nothing has changed.

--- a/internal/forward/longanswer_test.go
+++ b/internal/forward/longanswer_test.go
@@ -97,3 +97,19 @@
 		})
 	}
 }
+
+// TestSilentWorkerKeepsUnrepeatableStream guards against a stream that is cut because its worker is silent for a while: no other worker may
+// take it over, and the client still waits.
+func TestSilentWorkerKeepsUnrepeatableStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, route.Route{Host: "h", PathPrefix: "/p/", Kind: route.Streaming, Timeout: 5 * time.Second, Objective: 200 * time.Millisecond, MaxAttempts: 2, Targets: []route.Target{{Service: "s", Weight: 1}}})
+		f.reachable = true
+		f.worker("w", func(ctx context.Context, _ Call) (*Answer, error) {
+			silence := &piecewiseBody{ctx: ctx, rest: []byte(event(2)), piece: 1000, pause: 2300 * time.Millisecond}
+			return answer(http.StatusOK, true, io.MultiReader(strings.NewReader(event(1)), silence)), nil
+		})
+		got := f.serve(t.Context(), func(r *Request) { r.Timeout = 5 * time.Second })
+		require.True(t, got.ended)
+		require.Equal(t, events(2), got.body.String())
+	})
+}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -151,9 +151,10 @@
 	return w.idleEstimate().Timeout(w.minIdleTimeout, maxIdleFactor*w.minIdleTimeout)
 }
 
-// isStalled reports whether to give up a worker that accepts connections.
+// isStalled reports whether to give up a worker that accepts connections. An answer that has begun and may not be repeated would only
+// be cut.
 func (w *watchdog) isStalled(checks int) bool {
-	if w.waitForDeadline {
+	if w.waitForDeadline || w.answerStarted.Load() && !w.repeatable {
 		return false
 	}
 	if w.worker.Overtaken(w.sentAt, w.priority) {
