--- a/internal/quarantine/replicate.go
+++ b/internal/quarantine/replicate.go
@@ -117,6 +117,7 @@
 	begun, answered := time.Now(), true
 	for timing.Sleep(ctx, syncPause(time.Since(begun), answered)) == nil {
 		answered = r.sync(ctx)
+		r.syncOtherRegion(ctx)
 	}
 }
 
@@ -157,9 +158,7 @@
 	if !ok {
 		return false
 	}
-	answered := r.compare(ctx, partner)
-	r.syncOtherRegion(ctx)
-	return answered
+	return r.compare(ctx, partner)
 }
 
 // compare exchanges entries with a node, and reports whether it answered.
