--- a/internal/quarantine/otherregion.go
+++ b/internal/quarantine/otherregion.go
@@ -9,7 +9,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 )
 
-// otherRegions tells whether this node has a reason to compare with nodes of other regions. Messages to them are slow and dear, so nodes
+// otherRegions tells whether this node has a reason to compare with nodes of other regions. Messages to them are slow and expensive, so nodes
 // usually compare within their region, and changes reach the other regions as they occur.
 type otherRegions struct {
 	compared bool                   // a node of another region has answered a comparison since this process started
