--- a/internal/store/storetest/limits.go
+++ b/internal/store/storetest/limits.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/cloverwheel/cloverwheel/internal/store"
 )
@@ -26,12 +27,12 @@
 
 // checkLimits returns an ErrBeyondLimits that names the limit which a transaction exceeds.
 func checkLimits(transaction store.Transaction) error {
-	keys, bytes := transaction.Remove, 0
+	keys, bytes := slices.Clone(transaction.Remove), 0
 	for _, condition := range transaction.Conditions {
-		keys = append(keys[:len(keys):len(keys)], condition.Key)
+		keys = append(keys, condition.Key)
 	}
 	for _, row := range transaction.Put {
-		keys = append(keys[:len(keys):len(keys)], row.Key)
+		keys = append(keys, row.Key)
 		bytes += base64.StdEncoding.EncodedLen(len(row.Value))
 		if len(row.Value) > maxValueBytes {
 			return fmt.Errorf("row %v has a value of %d bytes: %w", row.Key, len(row.Value), ErrBeyondLimits)
