--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -92,7 +92,8 @@
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
-	reader          *bufio.Reader
+	heads           *headReader
+	reader          *bufio.Reader // of heads
 	writer          *bufio.Writer
 	keepAlive       time.Duration
 	expires         time.Time
@@ -144,14 +145,31 @@
 
 // readResponse reads the head of the final response. It skips informational ones, which announce it.
 func (c *conn) readResponse(request *http.Request) (*http.Response, error) {
+	c.heads.beginResponse()
 	for {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil || !isInformational(response.StatusCode) {
 			return response, err
 		}
 	}
 }
 
+// readHead reads one head.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.heads.beginHead(buffered); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil && c.heads.tooLong != nil {
+		return nil, c.heads.tooLong
+	}
+	return response, err
+}
+
 func isInformational(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
@@ -221,9 +239,11 @@
 		return nil, ErrConnectionLimit
 	}
 	reads, writes := p.counted(raw)
+	heads := &headReader{source: reads}
 	return &conn{
 		Conn:         raw,
-		reader:       bufio.NewReaderSize(reads, readBuffer),
+		heads:        heads,
+		reader:       bufio.NewReaderSize(heads, readBuffer),
 		writer:       bufio.NewWriterSize(pooledCopy{writes}, writeBuffer),
 		keepAlive:    p.options.IdleTimeout,
 		lastReceived: time.Now(),
