A stream ends at the most that its request may generate (BUDGET)

Callers got 1,282,756 tokens of a budget of 2,530 from a worker that sent events without end: what a worker sent was not compared with what the turn had reserved. A further event is now a failure of the worker, as a broken stream is.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -38,6 +38,9 @@
 // millisecond.
 const slowClientDelay = time.Second
 
+// errTooManyEvents reports that a worker sent more events than the request may generate. Its tokens were not reserved.
+var errTooManyEvents = errors.New("the worker sent more events than the request may generate; check the worker")
+
 // serveStream relays a worker's events until the proper end of the stream. If the route allows
 // it, a broken stream is resumed after the last event.
 func (x *exchange) serveStream(ctx context.Context, perEvent int) *fault.Error {
@@ -160,6 +163,9 @@
 		if x.clientHas(event) {
 			continue
 		}
+		if x.mayNotGenerateMore(perEvent) {
+			return errTooManyEvents
+		}
 		receivedAt := time.Now()
 		x.clock.enter(stepStream, receivedAt)
 		watcher.relaying.Store(true)
@@ -178,6 +184,12 @@
 	}
 }
 
+// mayNotGenerateMore reports whether the client has got as many events as the request may generate at most.
+func (x *exchange) mayNotGenerateMore(perEvent int) bool {
+	most := x.request.MaxOutputTokens
+	return perEvent > 0 && most > 0 && x.events*perEvent >= most
+}
+
 // clientHas reports whether the client already has the event. Event IDs are ascending numbers.
 func (x *exchange) clientHas(event eventstream.Event) bool {
 	last, err := strconv.ParseUint(x.lastEventID, 10, 64)
--- a/internal/forward/turn_test.go
+++ b/internal/forward/turn_test.go
@@ -254,3 +254,33 @@
 		require.Equal(t, events(9), got.body.String())
 	})
 }
+
+// Guards against clients that get more tokens than were reserved (BUDGET), from a worker that does not end its stream.
+func TestStreamEndsAtTheMostThatTheRequestMayGenerate(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*route.Route)
+		most   int // tokens
+		events int
+		ended  bool
+	}{
+		"one event too many":          {nil, 30, 3, false},
+		"one too many, resumable":     {resumable, 30, 3, false},
+		"one too many, retained":      {retained, 30, 3, false},
+		"the last event is not full":  {nil, 31, 4, true},
+		"as many as may be":           {nil, 40, 4, true},
+		"the client gives no maximum": {nil, 0, 4, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, turnRoute(c.change))
+				f.worker("w", streams(4, 0))
+				got := f.serve(t.Context(), func(r *Request) {
+					r.Program, r.TokenBudget, r.MaxOutputTokens = "p", 1000, c.most
+				})
+				require.Equal(t, events(c.events), got.body.String())
+				require.Equal(t, c.ended, got.ended)
+				require.NotEqual(t, c.ended, got.aborted)
+			})
+		})
+	}
+}
