--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/history"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
+	"github.com/cloverwheel/cloverwheel/internal/memory"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
 	"github.com/cloverwheel/cloverwheel/internal/route"
@@ -134,13 +135,13 @@
 	replicator     *quarantine.Replicator // of quarantine; nil likewise
 	clients        *clientConns
 	drain          chan struct{}
-	bodyBytes      atomic.Int64 // bytes held by request and response bodies
+	buffers        *memory.Budget // of what is held of requests and answers
 }
 
 const (
-	// bodyMemoryDivisor and historyMemoryDivisor set the parts of the process's memory that
-	// request bodies and cached turns may use.
-	bodyMemoryDivisor    = 8 // one eighth
+	// bufferMemoryDivisor and historyMemoryDivisor set the parts of the process's memory that
+	// buffers of requests and answers, and cached turns, may use.
+	bufferMemoryDivisor  = 8 // one eighth
 	historyMemoryDivisor = 10
 	// groupCommitMemoryDivisor sets the part for rows that wait to be written for other nodes.
 	groupCommitMemoryDivisor = 32
@@ -164,6 +165,7 @@
 	peers := newPeers(options)
 	parts := newComponents(options, gate, peers, verifier, workers)
 	finder := &workerFinder{workers: workers, gate: gate, prefixWorkers: map[string]prefixWorkers{}, countLookup: options.Metrics.WorkerLookup}
+	buffers := memory.NewBudget(options.Settings.MemoryBytes / bufferMemoryDivisor)
 	var s *Server
 	s = &Server{
 		options:        options,
@@ -180,7 +182,8 @@
 		replicator:     parts.replicator,
 		invalidEntries: invalidEntries{},
 		finder:         finder,
-		clients:        newClientConns(options.Settings.Descriptors),
+		clients:        newClientConns(clientLimit(options.Settings.Descriptors, options.Settings.MemoryBytes), buffers.Reserve, options.Logger),
+		buffers:        buffers,
 		drain:          make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
 			Store:  gate,
@@ -199,7 +202,7 @@
 			RateLimiter:     parts.limits,
 			Isolated:        func() bool { return s.Isolated() },
 			WarmupLimiter:   parts.allowance,
-			ReserveMemory:   func(bytes int64) (func(), bool) { return s.ReserveBodyMemory(bytes) },
+			ReserveMemory:   buffers.Reserve,
 			Finder:          finder,
 			Origins:         parts.origins.forForwarder(),
 			Quarantine:      parts.quarantine,
@@ -263,15 +266,10 @@
 	return !s.RedirectsClients() && s.workersLoaded.Load() && s.origins.loaded() && !s.quarantine.Loading() && s.forwarder.Configuration() != nil && s.clients.accepting()
 }
 
-// ReserveBodyMemory reserves memory for a request body, or for a response held until its client has
-// read it. It returns a function that releases the memory; ok is false if too much is in use.
+// ReserveBodyMemory reserves memory for a request body. It returns a function that releases the memory; ok is false if too much is
+// in use.
 func (s *Server) ReserveBodyMemory(bytes int64) (release func(), ok bool) {
-	limit := s.options.Settings.MemoryBytes / bodyMemoryDivisor
-	if s.bodyBytes.Add(bytes) > limit {
-		s.bodyBytes.Add(-bytes)
-		return nil, false
-	}
-	return func() { s.bodyBytes.Add(-bytes) }, true
+	return s.buffers.Reserve(bytes)
 }
 
 // Drain starts a planned shutdown; Run returns when it is complete. Further calls have no effect.
@@ -306,7 +304,8 @@
 		})
 	}
 	clientServer := &http.Server{
-		Handler:           s.options.NewClientHandler(s),
+		Handler:           endHeads(s.options.NewClientHandler(s)),
+		ConnContext:       withClientConnection,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
