Long events and outputs of turns reserve memory; answers are relayed through 16 KB (FAULT)

An event of up to 1 MB and the whole output of a turn that is stored were held by each stream without being counted: 64 places a worker make over 144 MB. Both now reserve from the budget for requests and answers beyond 16 KB; without memory the request ends as one that may have run. Answers of another kind on streaming routes reserve their buffer, as plain ones do. TestStreamsStayWithinTheMemoryLimit: with the two reservations switched off, as before, the 5 of 9 cases that lack memory fail.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -5,12 +5,27 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
+
+	"github.com/cloverwheel/cloverwheel/internal/memory"
 )
 
 // MaxEvent is the maximum size of an event, in bytes.
 const MaxEvent = 1 << 20
 
+const (
+	// freeBytes is the size up to which an event needs no reservation.
+	freeBytes = 16 << 10
+	// memoryStep is the step in which memory for longer events is reserved, in bytes.
+	memoryStep = 64 << 10
+	// memoryFactor is the memory that a buffered byte takes at most: the buffer doubles, and the old one is copied.
+	memoryFactor = 3
+)
+
+// ErrNoMemory is returned for a long event for which no memory can be reserved.
+var ErrNoMemory = errors.New("not enough memory for a long event; retry later or at another node")
+
 // Event is one complete event, including the blank line that ends it.
 type Event struct {
 	Raw  []byte // valid until the next call of Next
@@ -21,18 +36,20 @@
 // Reader reads a stream event by event.
 type Reader struct {
 	scanner *bufio.Scanner
+	grant   *memory.Grant
 }
 
-// NewReader returns a Reader of stream.
-func NewReader(stream io.Reader) *Reader {
-	reader := &Reader{scanner: bufio.NewScanner(stream)}
+// NewReader returns a Reader of stream. Long events take their memory from grant, which the caller releases after the last
+// use of the reader.
+func NewReader(stream io.Reader, grant *memory.Grant) *Reader {
+	reader := &Reader{scanner: bufio.NewScanner(stream), grant: grant}
 	reader.scanner.Buffer(make([]byte, 0, 2048), MaxEvent)
 	reader.scanner.Split(reader.splitEvents)
 	return reader
 }
 
 // Next returns the next event. The error is io.EOF if the stream ended after a complete event,
-// io.ErrUnexpectedEOF if it ended within one, and bufio.ErrTooLong if an event exceeds MaxEvent.
+// io.ErrUnexpectedEOF if it ended within one, bufio.ErrTooLong if an event exceeds MaxEvent, and ErrNoMemory.
 func (r *Reader) Next() (Event, error) {
 	if r.scanner.Scan() {
 		return parse(r.scanner.Bytes()), nil
@@ -54,6 +71,9 @@
 	if atEOF {
 		return len(data), nil, nil
 	}
+	if len(data) > freeBytes && !r.grant.Grow(int64(len(data))*memoryFactor, memoryStep) {
+		return 0, nil, ErrNoMemory
+	}
 	return 0, nil, nil
 }
 
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -1,6 +1,7 @@
 package eventstream
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"strings"
@@ -9,10 +10,12 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/cloverwheel/cloverwheel/internal/memory"
 )
 
 func readAll(stream io.Reader) (raw string, ids, data []string, err error) {
-	reader := NewReader(stream)
+	reader := NewReader(stream, memory.NewGrant(nil))
 	for {
 		event, err := reader.Next()
 		if err != nil {
@@ -48,6 +51,28 @@
 	require.ErrorIs(t, err, readErr)
 }
 
+// TestLongEventsReserveMemory guards against long events of many streams that exceed the memory together.
+func TestLongEventsReserveMemory(t *testing.T) {
+	budget := memory.NewBudget(8 * memoryStep)
+	event := func(size int) io.Reader { return strings.NewReader("data: " + strings.Repeat("x", size) + "\n\n") }
+	read := func(stream io.Reader, grant *memory.Grant) error {
+		_, err := NewReader(stream, grant).Next()
+		return err
+	}
+	require.NoError(t, read(event(freeBytes/2), memory.NewGrant(budget.Reserve)))
+	require.Zero(t, budget.Used())
+
+	first, second := memory.NewGrant(budget.Reserve), memory.NewGrant(budget.Reserve)
+	require.NoError(t, read(event(2*memoryStep), first))
+	require.NotZero(t, budget.Used())
+	require.ErrorIs(t, read(event(2*memoryStep), second), ErrNoMemory)
+	first.Release()
+	require.NoError(t, read(event(2*memoryStep), second))
+	second.Release()
+	require.Zero(t, budget.Used())
+	require.ErrorIs(t, read(event(MaxEvent), memory.NewGrant(nil)), bufio.ErrTooLong)
+}
+
 // TestEventsSurviveAnySplitOfTheStream guards against lost, partial or changed events when a stream
 // arrives in small pieces or ends anywhere.
 func TestEventsSurviveAnySplitOfTheStream(t *testing.T) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/capacity"
 	"github.com/cloverwheel/cloverwheel/internal/eligibility"
 	"github.com/cloverwheel/cloverwheel/internal/httpconn"
+	"github.com/cloverwheel/cloverwheel/internal/memory"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/tenant"
 )
@@ -56,5 +57,6 @@
 	answered         bool                      // the client has its final answer
 	lastEventID      string                    // ID of the last event that the client has
 	output           []byte                    // the turn's output so far, to be stored
+	outputMemory     *memory.Grant             // for a long output
 	program          programState              // state of the program that the turn belongs to
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
 	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/memory"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/scheduling"
@@ -41,7 +42,7 @@
 	WarmupLimiter WarmupLimiter
 	// ReserveMemory reserves memory of the node for buffered bytes until release is called; ok is false
 	// if there is none left. nil: buffers are not counted.
-	ReserveMemory func(bytes int64) (release func(), ok bool)
+	ReserveMemory memory.Reserve
 	// Finder looks up workers that this node has not loaded; nil: all are loaded.
 	Finder WorkerFinder
 	// Capacity finds workers with free capacity; nil: workers are chosen by local information only.
@@ -129,7 +130,11 @@
 func (f *Forwarder) Serve(ctx context.Context, request *Request, out Responder) {
 	done := f.countBeforeClosing()
 	defer done()
-	x := &exchange{Forwarder: f, request: request, out: out, startTime: time.Now(), clientCtx: ctx, lastEventID: request.LastEventID}
+	x := &exchange{
+		Forwarder: f, request: request, out: out, startTime: time.Now(), clientCtx: ctx, lastEventID: request.LastEventID,
+		outputMemory: memory.NewGrant(f.options.ReserveMemory),
+	}
+	defer x.outputMemory.Release()
 	refusal := x.serve(ctx)
 	x.releaseWorker()
 	x.returnToLimit()
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -17,6 +17,8 @@
 	// maxBufferedAnswer is the largest answer, in bytes, that is read completely before it is
 	// passed on, so that a truncated one can still be replaced.
 	maxBufferedAnswer = 256 << 10
+	// relayBufferBytes is the size of the buffer of an answer that is relayed as it arrives. Many clients that do not read hold one each.
+	relayBufferBytes = 16 << 10
 	// safeIdleTimeout is how long a safe request waits for data before the node checks whether
 	// the worker still accepts connections.
 	safeIdleTimeout = 100 * time.Millisecond
@@ -140,7 +142,7 @@
 	if err := x.out.WriteHead(answer.Status, answer.Header, answer.Length); err != nil {
 		return x.endedError(x.clientCtx)
 	}
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, relayBufferBytes)
 	piece := prefix
 	for {
 		if len(piece) > 0 {
--- a/internal/forward/slowclient_test.go
+++ b/internal/forward/slowclient_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -14,6 +15,7 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cloverwheel/cloverwheel/internal/memory"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 )
 
@@ -104,6 +106,48 @@
 	}
 }
 
+// Guards against outputs of turns and long events that exceed the memory, and against memory that stays reserved (FAULT).
+func TestStreamsStayWithinTheMemoryLimit(t *testing.T) {
+	long := "id: 1\ndata: " + strings.Repeat("x", 2*freeOutputBytes) + "\n\n"
+	many := ""
+	for id := range 2 * freeOutputBytes / 1000 {
+		many += fmt.Sprintf("id: %d\ndata: %s\n\n", id+1, strings.Repeat("x", 1000))
+	}
+	for name, test := range map[string]struct {
+		change func(*route.Route)
+		stream string
+		free   int64
+		whole  bool
+	}{
+		"a long event":                         {nil, long, 1 << 20, true},
+		"a long event, no memory":              {nil, long, 1 << 10, false},
+		"a long output":                        {retained, many, 1 << 20, true},
+		"a long output, no memory":             {retained, many, 1 << 10, false},
+		"a long output that is not stored":     {nil, many, 1 << 10, true},
+		"a long output, resumable, no memory":  {func(r *route.Route) { r.Resumable, r.StoreTurns = true, true }, many, 1 << 10, false},
+		"a short event and output, no memory":  {retained, event(1), 0, true},
+		"a long event, resumable, no memory":   {resumable, long, 1 << 10, false},
+		"an event after the memory is used up": {retained, many + long, 80 << 10, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, turnRoute(test.change))
+				free := memory.NewBudget(test.free)
+				f.forwarder.options.ReserveMemory = free.Reserve
+				f.worker("w", func(context.Context, Call) (*Answer, error) {
+					return answer(http.StatusOK, true, strings.NewReader(test.stream)), nil
+				})
+				got := f.serve(t.Context(), nil)
+				require.Equal(t, test.whole, got.ended)
+				require.Equal(t, test.whole, got.body.String() == test.stream)
+				require.True(t, strings.HasPrefix(test.stream, got.body.String()))
+				require.Len(t, f.sent(), 1, "another worker would need the same memory")
+				require.Zero(t, free.Used())
+			})
+		})
+	}
+}
+
 // counterValue returns the value of a counter.
 func counterValue(counter prometheus.Counter) float64 {
 	var metric dto.Metric
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/backend"
 	"github.com/cloverwheel/cloverwheel/internal/eventstream"
 	"github.com/cloverwheel/cloverwheel/internal/fault"
+	"github.com/cloverwheel/cloverwheel/internal/memory"
 	"github.com/cloverwheel/cloverwheel/internal/timing"
 )
 
@@ -33,6 +34,18 @@
 // slowClientDelay or longer. Workers close connections that are not read for some seconds.
 var errSlowClient = errors.New("the client read the answer too slowly, and the worker closed the connection")
 
+// errNoOutputMemory reports that the node has too little memory to hold the output of a turn that it stores.
+var errNoOutputMemory = errors.New("not enough memory for the output of the turn; send the turn again")
+
+const (
+	// freeOutputBytes is the size of a turn's output up to which it needs no reservation, and outputStep the step in which memory
+	// for longer ones is reserved, in bytes.
+	freeOutputBytes = 16 << 10
+	outputStep      = 64 << 10
+	// outputMemoryFactor is the memory that a byte of a turn's output takes: as it grows, it is copied.
+	outputMemoryFactor = 2
+)
+
 // slowClientDelay is the least write time of an event after which a broken stream is attributed
 // to the client. Workers wait for several seconds; an event is usually written in well below a
 // millisecond.
@@ -105,6 +118,9 @@
 	case errors.Is(err, errSlowClient):
 		x.recordSendFailure(worker, "unread")
 		return true, fault.New(fault.DeadlinePassed, errSlowClient.Error(), "read the answer faster, or send the request again if it may be repeated").WithRan(fault.RanUnknown)
+	case errors.Is(err, errNoOutputMemory) || errors.Is(err, eventstream.ErrNoMemory): // other workers would change nothing
+		x.recordSendFailure(worker, "no memory")
+		return true, fault.New(fault.Overloaded, err.Error(), "check whether the request took effect before sending it again").WithRan(fault.RanUnknown)
 	default:
 		return x.handleFailure(ctx, limited, worker, err)
 	}
@@ -113,6 +129,14 @@
 // handleNonStream handles an answer that is not a stream.
 func (x *exchange) handleNonStream(ctx, limited context.Context, worker *backend.Worker, watcher *watchdog, answer *Answer) (bool, *fault.Error) {
 	answer.Body = &watchedBody{Reader: answer.Body, watcher: watcher}
+	release, buffered := x.reserveBuffer(answer)
+	if !buffered && x.headSent {
+		return true, x.exhaustedError()
+	}
+	if !buffered {
+		return true, x.relayAnswer(ctx, worker, watcher, answer, nil)
+	}
+	defer release()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswer+1))
 	if err != nil {
 		return x.handleFailure(ctx, limited, worker, err)
@@ -144,7 +168,9 @@
 
 // relayEvents relays complete events until the proper end of the stream.
 func (x *exchange) relayEvents(worker *backend.Worker, watcher *watchdog, answer *Answer, perEvent int) error {
-	reader := eventstream.NewReader(answer.Body)
+	buffer := memory.NewGrant(x.options.ReserveMemory)
+	defer buffer.Release()
+	reader := eventstream.NewReader(answer.Body, buffer)
 	var previous time.Time
 	var writeTime time.Duration // of the previous event to the client
 	for {
@@ -214,14 +240,25 @@
 	return nil
 }
 
+// keepOutput appends an event's data to the output of a turn that is stored. It reports whether there is memory for it.
+func (x *exchange) keepOutput(data []byte) bool {
+	length := len(x.output) + len(data) + len("\n")
+	if length > freeOutputBytes && !x.outputMemory.Grow(int64(length)*outputMemoryFactor, outputStep) {
+		return false
+	}
+	x.output = append(append(x.output, data...), '\n')
+	return true
+}
+
+// relayEvent relays an event to the client.
 func (x *exchange) relayEvent(answer *Answer, event eventstream.Event) error {
 	if err := x.sendHead(answer); err != nil {
 		return err
 	}
-	x.events++
-	if x.route.StoreTurns {
-		x.output = append(append(x.output, event.Data...), '\n')
+	if x.route.StoreTurns && !x.keepOutput(event.Data) {
+		return errNoOutputMemory
 	}
+	x.events++
 	if len(event.ID) > 0 {
 		x.lastEventID = string(event.ID)
 	}
