A node outlives the reader of its log, and ends although nobody reads (FAULT)

With a pipe as standard output, a node ended by SIGPIPE at the first line after the reader had gone: 1,091 of 1,116 requests got no answer. A reader that kept the pipe open without reading held up the last flush, so that the node did not end within its grace period after SIGTERM. SIGPIPE is ignored now, lost lines are counted, and the last flush waits for 0.2 s at most.

--- a/cmd/cloverwheeld/main.go
+++ b/cmd/cloverwheeld/main.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
@@ -35,6 +36,9 @@
 // unique and hard to guess.
 const processDigits = 16
 
+// lastFlushTimeout is how long an ending process waits for the reader of its log.
+const lastFlushTimeout = 200 * time.Millisecond
+
 func main() {
 	root := rootCommand()
 	if err := root.Run(context.Background(), os.Args); err != nil {
@@ -91,6 +95,7 @@
 }
 
 func serve(ctx context.Context, command *cli.Command) error {
+	signal.Ignore(syscall.SIGPIPE) // a reader of the log that goes away must not end the node
 	path := command.String("settings")
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
@@ -103,7 +108,7 @@
 	defer stop()
 	lines := eventlog.New(os.Stdout)
 	go lines.Run(ctx)
-	defer lines.Flush()
+	defer lines.FlushWithin(lastFlushTimeout)
 	process := locality.ProcessName(settings.Server.Zone, settings.Server.Node, strings.ReplaceAll(uuid.NewString(), "-", "")[:processDigits])
 	logger := &log.Logger{Handler: logfmt.New(lines), Level: log.InfoLevel}
 	metrics := server.NewMetrics()
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -4,6 +4,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -71,8 +72,24 @@
 	}
 }
 
-// Flush writes all buffered lines, and the number of dropped ones if any. Errors of the output are
-// ignored, and its lines are lost. Flush is safe for concurrent use; at the end of a process it may
+// FlushWithin is Flush that returns after a time if the output blocks, as a pipe does that nobody reads. It reports whether the
+// lines were written.
+func (w *Writer) FlushWithin(limit time.Duration) bool {
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		w.Flush()
+	}()
+	select {
+	case <-flushed:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Flush writes all buffered lines, and the number of dropped ones if any. Lines that the output does not take are dropped
+// and counted. Flush is safe for concurrent use; at the end of a process it may
 // run beside Run.
 func (w *Writer) Flush() {
 	w.flush.Lock()
@@ -82,10 +99,18 @@
 	dropped := w.dropped
 	w.dropped = 0
 	w.mutex.Unlock()
+	lines := w.flushing
 	if dropped > 0 {
 		w.flushing = fmt.Appendf(w.flushing, "level=warn msg=\"log lines dropped\" count=%d\n", dropped)
 	}
-	if len(w.flushing) > 0 {
-		_, _ = w.output.Write(w.flushing)
+	if len(w.flushing) == 0 {
+		return
+	}
+	written, err := w.output.Write(w.flushing)
+	if err == nil {
+		return
 	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.dropped += dropped + bytes.Count(lines[min(written, len(lines)):], []byte("\n"))
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -51,3 +54,47 @@
 		}
 	}
 }
+
+// failingOutput fails while it is broken.
+type failingOutput struct {
+	bytes.Buffer
+	broken bool
+}
+
+// Write implements io.Writer.
+func (o *failingOutput) Write(lines []byte) (int, error) {
+	if o.broken {
+		return 0, syscall.EPIPE
+	}
+	return o.Buffer.Write(lines)
+}
+
+// Guards against lines that are lost without a trace while the output fails.
+func TestLinesLostByTheOutputAreCounted(t *testing.T) {
+	out := &failingOutput{broken: true}
+	writer := New(out)
+	for range 3 {
+		_, err := fmt.Fprintln(writer, "lost")
+		require.NoError(t, err)
+		writer.Flush()
+	}
+	out.broken = false
+	_, err := fmt.Fprintln(writer, "written")
+	require.NoError(t, err)
+	writer.Flush()
+	require.Equal(t, "written\nlevel=warn msg=\"log lines dropped\" count=3\n", out.String())
+}
+
+// Guards against a process that does not end because nobody reads its log (FAULT).
+func TestFlushOfABlockedOutputEnds(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	defer reader.Close()
+	lines := New(writer)
+	for range bufferBytes / 1000 {
+		_, err := fmt.Fprintln(lines, strings.Repeat("x", 1000))
+		require.NoError(t, err)
+	}
+	require.False(t, lines.FlushWithin(10*time.Millisecond))
+	require.True(t, New(&bytes.Buffer{}).FlushWithin(time.Minute))
+}
