Nodes start beside taken ports and settings that are being written; accept errors end no server (FAULT)

Callers saw nodes that did not start: with the metrics port taken by anyone, with the client or readiness port still held by the process before, with a settings file that was being replaced. A peer port that was taken at the start was never tried again. An error of accept that net/http does not retry ended the process. Now only the listeners for clients and readiness may end a start, if their port stays taken for the grace period; metrics and peers are retried in the background, accept errors are retried, an incomplete settings file is read again for two seconds, and signals are handled before it is read.

--- a/cmd/cloverwheeld/main.go
+++ b/cmd/cloverwheeld/main.go
@@ -96,21 +96,27 @@
 
 func serve(ctx context.Context, command *cli.Command) error {
 	signal.Ignore(syscall.SIGPIPE) // a reader of the log that goes away must not end the node
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	lines := eventlog.New(os.Stdout)
+	go lines.Run(ctx)
+	defer lines.FlushWithin(lastFlushTimeout)
+	logger := &log.Logger{Handler: logfmt.New(lines), Level: log.InfoLevel}
 	path := command.String("settings")
-	settings, err := platform.LoadSettings(path)
+	settings, err := awaitSettings(path, signals, logger)
+	if errors.Is(err, errStopped) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	if port := command.Uint16("metrics-port"); port > 0 {
 		settings.Server.MetricsAddress = net.JoinHostPort(settings.Server.IP, strconv.Itoa(int(port)))
 	}
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	lines := eventlog.New(os.Stdout)
-	go lines.Run(ctx)
-	defer lines.FlushWithin(lastFlushTimeout)
 	process := locality.ProcessName(settings.Server.Zone, settings.Server.Node, strings.ReplaceAll(uuid.NewString(), "-", "")[:processDigits])
-	logger := &log.Logger{Handler: logfmt.New(lines), Level: log.InfoLevel}
 	metrics := server.NewMetrics()
 	guards := server.NewGuards(settings.Server, metrics, logger)
 	node := server.New(server.Options{
@@ -135,16 +141,13 @@
 		Metrics:         metrics,
 		Logger:          logger.WithField("node", settings.Server.Node),
 	})
-	go handleSignals(ctx, node, path, logger)
+	go handleSignals(ctx, signals, node, path, logger)
 	return node.Run(ctx)
 }
 
 // handleSignals shuts the node down gracefully on SIGTERM and SIGINT. On SIGHUP it validates the
 // settings file and logs the result; changed settings apply after a restart.
-func handleSignals(ctx context.Context, node *server.Server, path string, logger log.Interface) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func handleSignals(ctx context.Context, signals <-chan os.Signal, node *server.Server, path string, logger log.Interface) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -154,7 +155,7 @@
 	})
 }
 
-// serve handles calls of other nodes until ctx ends. If it cannot listen, the node runs without
+// serve handles calls of other nodes until ctx ends. While it cannot listen, the node runs without
 // them.
 func (p *peers) serve(ctx context.Context, group *errgroup.Group, s *Server) {
 	if p.address == "" {
@@ -169,14 +170,11 @@
 		})
 		return
 	}
-	listener, err := s.options.Listen(p.address)
-	if err != nil {
-		s.options.Logger.WithError(err).WithField("address", p.address).Error("cannot listen for calls of other nodes, continuing without them; free the port and restart")
-		return
-	}
 	server := peer.NewServer(p.options, p.mux)
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	group.Go(func() error { return server.Serve(deadconn.Listener{Listener: listener, Guard: p.options.Guard}) })
+	s.serveOptional(ctx, group, p.address, func(listener net.Listener) error {
+		return server.Serve(deadconn.Listener{Listener: listener, Guard: p.options.Guard})
+	})
 }
 
 // peerClient calls other nodes and measures the latency of each zone. It implements budget.Peers,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -281,7 +281,7 @@
 }
 
 // Run serves until ctx ends or a planned shutdown is complete. It returns an error if it cannot
-// listen for clients, readiness checks or metrics, or if a server fails.
+// listen for clients or readiness checks. It serves without what it can do without.
 func (s *Server) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(heapLimitRatio * float64(s.options.Settings.MemoryBytes)))
 	ctx, cancel := context.WithCancel(ctx)
@@ -313,18 +313,21 @@
 		ConnState:         s.clients.trackState,
 	}
 	ready := &http.Server{Handler: s.options.NewReadyHandler(s), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: newErrorLog(s.options.Logger)}
-	if err := s.serve(group, clientServer, s.options.Settings.ClientAddress, s.listenToClients); err != nil {
-		return err
+	err := s.serve(ctx, group, clientServer, s.options.Settings.ClientAddress, s.trackClients)
+	if err == nil {
+		err = s.serve(ctx, group, ready, s.options.Settings.ReadyAddress, nil)
+	}
+	if errors.Is(err, errStoppedAtStart) {
+		s.options.Logger.WithError(err).Info("stopped")
+		return nil
 	}
-	if err := s.serve(group, ready, s.options.Settings.ReadyAddress, s.options.Listen); err != nil {
+	if err != nil {
 		return err
 	}
 	s.peers.serve(ctx, group, s)
 	metrics := &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: newErrorLog(s.options.Logger)}
 	if address := s.options.Settings.MetricsAddress; address != "" {
-		if err := s.serve(group, metrics, address, s.options.Listen); err != nil {
-			return err
-		}
+		s.serveOptional(ctx, group, address, metrics.Serve)
 	}
 	s.options.Logger.WithField("front", s.options.Settings.ClientAddress).Info("node started")
 	group.Go(func() error {
@@ -344,20 +347,20 @@
 	maxHeaderBytes    = 256 << 10
 )
 
-// listenToClients opens the listener for clients.
-func (s *Server) listenToClients(address string) (net.Listener, error) {
-	listener, err := s.options.Listen(address)
-	if err != nil {
-		return nil, err
-	}
-	return s.clients.trackListener(listener, s.options.Guards.Clients), nil
+// trackClients wraps the listener for clients.
+func (s *Server) trackClients(listener net.Listener) net.Listener {
+	return s.clients.trackListener(listener, s.options.Guards.Clients)
 }
 
-func (s *Server) serve(group *errgroup.Group, server *http.Server, address string, listen func(string) (net.Listener, error)) error {
-	listener, err := listen(address)
+// serve starts a server at an address that the node cannot serve without. wrap wraps its listener; nil: it is used as it is.
+func (s *Server) serve(ctx context.Context, group *errgroup.Group, server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
+	listener, err := s.openWhenFree(ctx, address)
 	if err != nil {
 		return err
 	}
+	if wrap != nil {
+		listener = wrap(listener)
+	}
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
