--- a/internal/server/clients_test.go
+++ b/internal/server/clients_test.go
@@ -86,6 +86,8 @@
 	return &fakeConn{}, err
 }
 
+func (*fakeListener) Close() error { return nil }
+
 // Guards against a node that reports ready although it cannot accept connections, and against one
 // that stays not ready because it gets no further connection.
 func TestAcceptFailureStopsAcceptingForAWhile(t *testing.T) {
--- a/internal/server/listen_test.go
+++ b/internal/server/listen_test.go
@@ -18,7 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		failures := []error{syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, syscall.ENETDOWN, syscall.EMFILE}
 		listener := &fakeListener{errors: append(failures, net.ErrClosed)}
-		err := (&http.Server{ReadHeaderTimeout: time.Second}).Serve(persistentListener{listener})
+		err := (&http.Server{ReadHeaderTimeout: time.Second, ErrorLog: newErrorLog(discardLogger)}).Serve(persistentListener{listener})
 		require.ErrorIs(t, err, net.ErrClosed)
 		require.Empty(t, listener.errors, "all errors before the last one were survived")
 	})
