--- a/cmd/cloverwheeld/main.go
+++ b/cmd/cloverwheeld/main.go
@@ -123,7 +123,7 @@
 		Settings:  settings.Server,
 		Process:   process,
 		Guards:    guards,
-		Store:     platform.NewTable(settings.Store, guards.Store, platform.TableMeter{Call: metrics.StoreCall, Bytes: metrics.StoreBytes}),
+		Store:     platform.NewTable(settings.Store, guards.Store, platform.TableMeter{Call: metrics.StoreCall, Bytes: metrics.StoreBytes}, settings.Server.MemoryBytes),
 		Transport: platform.WorkerClient{},
 		Prober:    platform.WorkerClient{},
 		RowDecoders: server.RowDecoders{
