Nodes without peers continue streams only at a registered software version (ORDER)

Callers whose streams broke off when all nodes were killed got text joined from two software versions, with status 200, from nodes whose settings give no ports for calls between nodes: these went by the versions of the workers that they list, and a started node lists only the new one. The registered versions, which outlive all nodes, were read by nodes with peers alone; now by all.

--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -24,7 +24,7 @@
 	limits forward.RateLimiter
 	// allowance limits requests to cold workers; nil likewise.
 	allowance forward.WarmupLimiter
-	// origins remembers which software versions began streams; nil likewise.
+	// origins remembers which software versions began streams.
 	origins *streamOrigins
 	// quarantine remembers under which work workers ended, and replicator exchanges that with other nodes; replicator is nil
 	// likewise.
@@ -38,7 +38,7 @@
 // nodes.
 func newComponents(options Options, gate *store.Gate, peers *peers, verifier *verifier, workers *backend.Registry) components {
 	if peers.address == "" {
-		return newStandaloneComponents(options, gate)
+		return newStandaloneComponents(options, gate, peers, workers)
 	}
 	self, location, client := options.self(), options.Settings.location(), peers.client
 	relay := &relayClient{transport: peers.transport, location: location, timeout: gate.HedgeDelay, countCall: options.Metrics.RelayedCalls.Inc}
@@ -65,7 +65,7 @@
 		limits:    newTenantLimits(options, peers, verifier, dir),
 		allowance: newColdAllowance(options, peers, verifier, dir),
 		capacity:  newCapacityTracker(options, peers, verifier, dir),
-		origins:   newStreamOrigins(options, relayed, peers, dir, workers.SoftwareVersions),
+		origins:   newStreamOrigins(options, relayed, peers, dir.Owners, workers.SoftwareVersions),
 
 		quarantine: tracker,
 		replicator: newQuarantineReplicator(options, tracker, peers, dir),
@@ -73,11 +73,12 @@
 }
 
 // newStandaloneComponents returns the components of a node that runs without peers.
-func newStandaloneComponents(options Options, gate *store.Gate) components {
+func newStandaloneComponents(options Options, gate *store.Gate, peers *peers, workers *backend.Registry) components {
 	return components{
 		budgets: budget.NewAccounts(budget.Options{Store: gate, Self: options.self()}),
 		history: history.New(options.historyOptions(gate)),
 		store:   gate,
+		origins: newStreamOrigins(options, gate, peers, noNodes, workers.SoftwareVersions),
 
 		quarantine: newQuarantineTracker(options),
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -130,7 +130,7 @@
 	directory      *directory.Directory // nil: the node runs without peers
 	peers          *peers
 	capacity       *capacityTracker // nil: the node runs without peers
-	origins        *streamOrigins   // nil likewise
+	origins        *streamOrigins
 	quarantine     *quarantine.Tracker
 	replicator     *quarantine.Replicator // of quarantine; nil likewise
 	clients        *clientConns
@@ -204,7 +204,7 @@
 			WarmupLimiter:   parts.allowance,
 			ReserveMemory:   buffers.Reserve,
 			Finder:          finder,
-			Origins:         parts.origins.forForwarder(),
+			Origins:         parts.origins.client,
 			Quarantine:      parts.quarantine,
 			Prober:          options.Prober,
 			Capacity:        parts.capacity.forwarderCapacity(),
@@ -293,9 +293,9 @@
 			return nil
 		})
 	}
-	runs := []func(context.Context){s.sweeper.Run, s.workers.Run, s.monitorStalls, s.verifier.run, s.monitorIsolation}
+	runs := []func(context.Context){s.sweeper.Run, s.workers.Run, s.monitorStalls, s.verifier.run, s.monitorIsolation, s.origins.versions.Run}
 	if s.directory != nil {
-		runs = append(runs, s.directory.Run, s.capacity.client.Run, s.origins.versions.Run, s.replicator.Run)
+		runs = append(runs, s.directory.Run, s.capacity.client.Run, s.replicator.Run)
 	}
 	for _, run := range runs {
 		group.Go(func() error {
--- a/internal/server/streamorigins.go
+++ b/internal/server/streamorigins.go
@@ -6,8 +6,7 @@
 
 	"github.com/apex/log"
 
-	"github.com/cloverwheel/cloverwheel/internal/directory"
-	"github.com/cloverwheel/cloverwheel/internal/forward"
+	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/peer"
 	"github.com/cloverwheel/cloverwheel/internal/route"
 	"github.com/cloverwheel/cloverwheel/internal/streamorigin"
@@ -23,15 +22,15 @@
 	resumable func() []string
 }
 
-// newStreamOrigins returns the records of a node and registers their handlers for calls of other nodes. listed returns the software
-// versions of the workers that this node lists.
-func newStreamOrigins(options Options, rows streamorigin.RowStore, peers *peers, dir *directory.Directory, listed func(service string) []string) *streamOrigins {
+// newStreamOrigins returns the records of a node and registers their handlers for calls of other nodes. nodes returns the other nodes that
+// may hold records, and listed the software versions of the workers that this node lists.
+func newStreamOrigins(options Options, rows streamorigin.RowStore, peers *peers, nodes func() []budget.Holder, listed func(service string) []string) *streamOrigins {
 	o := &streamOrigins{services: streamorigin.NewSharedServices(), logger: options.Logger, resumable: func() []string { return nil }}
 	o.versions = streamorigin.NewVersions(streamorigin.VersionsOptions{
 		Feed: options.Store, Store: rows, Listed: listed, OnChange: func(service string) { o.client.SendUnsent(service) }, OnLoad: o.registerListed, Logger: options.Logger,
 	})
 	o.client = streamorigin.New(streamorigin.Options{
-		Location: options.Settings.location(), Nodes: dir.Owners, Peers: peers.client, Versions: o.versions, Services: o.services,
+		Location: options.Settings.location(), Nodes: nodes, Peers: peers.client, Versions: o.versions, Services: o.services,
 		ResponseTimes: peers.client.timeout, OnSent: options.Metrics.StreamRecords,
 		OnLearned: o.logLearned,
 	})
@@ -44,19 +43,11 @@
 	return o
 }
 
-// forForwarder returns the records for the forwarder; nil if the node runs without peers.
-func (o *streamOrigins) forForwarder() forward.StreamOrigins {
-	if o == nil {
-		return nil
-	}
-	return o.client
-}
+// noNodes returns no nodes: those that a node without peers knows.
+func noNodes() []budget.Holder { return nil }
 
 // attach sets the source of the configuration, which is created after the records.
 func (o *streamOrigins) attach(s *Server) {
-	if o == nil {
-		return
-	}
 	o.resumable = func() []string {
 		if configuration := s.forwarder.Configuration(); configuration != nil {
 			return configuration.ResumableServices()
@@ -68,9 +59,6 @@
 // registerListed registers the software versions that this node lists of services with resumable streams, in the background, and sends
 // the records that other nodes need since the versions or the routes have changed. Streams begin only at registered versions.
 func (o *streamOrigins) registerListed() {
-	if o == nil {
-		return
-	}
 	for _, service := range o.resumable() {
 		o.versions.RegisterListed(service)
 		o.client.SendUnsent(service)
@@ -80,9 +68,6 @@
 // applyConfiguration takes a configuration before it is in use. Once it is, registerListed sends the records that other nodes
 // need because of it.
 func (o *streamOrigins) applyConfiguration(next *route.Configuration) {
-	if o == nil {
-		return
-	}
 	if added := o.services.Apply(next, time.Now()); len(added) > 0 {
 		o.logger.WithField("version", int64(next.Version)).WithField("services", added).
 			Info("streams of a route may begin at several services; they are recorded at other nodes")
@@ -95,5 +80,5 @@
 		Info("learned from another node which services share routes; streams of the other services may be resumed without a record")
 }
 
-// loaded reports whether the registered versions are known. Without peers there are none.
-func (o *streamOrigins) loaded() bool { return o == nil || o.versions.Loaded() }
+// loaded reports whether the registered versions are known.
+func (o *streamOrigins) loaded() bool { return o.versions.Loaded() }
