--- a/internal/directory/slots.go
+++ b/internal/directory/slots.go
@@ -207,6 +207,7 @@
 	var decoded row
 	if !stored.Gone && stored.Version != 0 {
 		if err := gob.NewDecoder(bytes.NewReader(stored.Value)).Decode(&decoded); err != nil {
+			decoded = row{} // parts of it may have been decoded
 			d.options.Logger.WithError(err).WithField("slot", slot).Error("cannot decode the directory slot, treating it as vacant; run the same version on all nodes")
 		}
 	}
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -199,7 +199,7 @@
 	}
 	decoded := registered{revision: read.Version}
 	if err := gob.NewDecoder(bytes.NewReader(read.Value)).Decode(&decoded.row); err != nil {
-		decoded.invalid = true
+		decoded.row, decoded.invalid = row{}, true // parts of it may have been decoded
 		v.options.Logger.WithError(err).WithField("service", read.Name).
 			Warn("the row with the software versions of a service is invalid; its streams begin at any version and are all recorded at other nodes; remove the row")
 	}
