--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -312,7 +312,7 @@
 		ErrorLog:          newErrorLog(s.options.Logger),
 		ConnState:         s.clients.trackState,
 	}
-	ready := &http.Server{Handler: s.options.NewReadyHandler(s), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: newErrorLog(s.options.Logger)}
+	ready := s.newControlServer(s.options.NewReadyHandler(s))
 	err := s.serve(ctx, group, clientServer, s.options.Settings.ClientAddress, s.trackClients)
 	if err == nil {
 		err = s.serve(ctx, group, ready, s.options.Settings.ReadyAddress, nil)
@@ -325,7 +325,7 @@
 		return err
 	}
 	s.peers.serve(ctx, group, s)
-	metrics := &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: newErrorLog(s.options.Logger)}
+	metrics := s.newControlServer(s.operatorHandler())
 	if address := s.options.Settings.MetricsAddress; address != "" {
 		s.serveOptional(ctx, group, address, metrics.Serve)
 	}
@@ -339,14 +339,26 @@
 	return group.Wait()
 }
 
-// Limits of HTTP connections, independent of the configuration. idleTimeout and maxHeaderBytes
-// apply to clients alone.
+// Limits of HTTP connections, independent of the configuration. maxHeaderBytes applies to clients alone.
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 75 * time.Second
 	maxHeaderBytes    = 256 << 10
+	// maxControlHeaderBytes bounds the heads of readiness checks and operators' requests.
+	maxControlHeaderBytes = 4 << 10
 )
 
+// newControlServer returns a server for readiness checks or operators.
+func (s *Server) newControlServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxControlHeaderBytes,
+		ErrorLog:          newErrorLog(s.options.Logger),
+	}
+}
+
 // trackClients wraps the listener for clients.
 func (s *Server) trackClients(listener net.Listener) net.Listener {
 	return s.clients.trackListener(listener, s.options.Guards.Clients)
