Signals are handled before the libraries of the program are initialized (FAULT)

The node had been stopped within milliseconds of its start; a reload (SIGHUP) there would have ended it, too.

--- a/cmd/cloverwheeld/main.go
+++ b/cmd/cloverwheeld/main.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
 	"syscall"
@@ -23,6 +22,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/eventlog"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/server"
+	"github.com/cloverwheel/cloverwheel/internal/startsignals"
 	"github.com/cloverwheel/cloverwheel/platform"
 )
 
@@ -95,10 +95,7 @@
 }
 
 func serve(ctx context.Context, command *cli.Command) error {
-	signal.Ignore(syscall.SIGPIPE) // a reader of the log that goes away must not end the node
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := startsignals.Received()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	lines := eventlog.New(os.Stdout)
