The connection whose request arrives most slowly gives way to a new one (FAULT)

Cause: the limit of connections was first come, first kept. A connection that had sent a part of a request ranked above one that would send a whole one, and kept its place for up to its own deadline. Fix: package inbound follows how far each request that arrives is behind 64 KB a second. At the limit the one that is furthest behind is closed: before idle connections if it is a second behind, after them if it is 20 ms behind. A request that has arrived as a whole never is, and one that was given up is not served afterwards (EndRequest), so that a closed connection still means: not run.

--- /dev/null
+++ b/internal/inbound/connection.go
@@ -0,0 +1,82 @@
+package inbound
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/cloverwheel/cloverwheel/internal/memory"
+)
+
+// phase is what a connection is used for.
+type phase int
+
+const (
+	phaseUnused    phase = iota // nothing has arrived yet
+	phaseIdle                   // it waits for another request
+	phaseReceiving              // a request is arriving
+	phaseServing                // the request has arrived and is being served
+)
+
+// errNoHeadMemory is returned by reads of a head that the node has no memory for.
+var errNoHeadMemory = errors.New("not enough memory for the head of the request; retry at another node")
+
+// Connection is a connection of a peer. It reserves memory for the heads of requests as they arrive.
+type Connection struct {
+	net.Conn
+	owner *Connections
+
+	// The following fields are guarded by the mutex of owner.
+	position   int // in the list of owner's connections
+	phase      phase
+	progress   progress // of the request that arrives; otherwise since when the connection waits
+	head       headSize // of the request that arrives
+	headRead   bool     // the handler has the head; the rest is the body
+	headMemory *memory.Grant
+	evicted    bool
+}
+
+// Read implements net.Conn. It fails if there is no memory for the head; net/http then closes the connection without an answer,
+// so that the client knows that its request was not read.
+func (c *Connection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if count > 0 && !c.owner.received(c, buffer[:count]) {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errNoHeadMemory}
+	}
+	return count, err
+}
+
+// waitsForBytes reports whether the connection holds room although its peer has not sent a whole request.
+func (c *Connection) waitsForBytes() bool { return c.phase == phaseUnused || c.phase == phaseReceiving }
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// WithConnection is the ConnContext hook of http.Server.
+func WithConnection(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// connectionOf returns the connection of a request; nil: it came in another way.
+func connectionOf(r *http.Request) *Connection {
+	connection, _ := r.Context().Value(connectionKey{}).(*Connection)
+	return connection
+}
+
+// EndHeads returns a handler that states for each request that its head was read as a whole.
+func EndHeads(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		if connection := connectionOf(r); connection != nil {
+			connection.owner.endHead(connection)
+		}
+		next.ServeHTTP(out, r)
+	})
+}
+
+// EndRequest states that a request has arrived as a whole, so that its connection no longer gives way to others. It reports false if
+// the connection was closed for others before; the request must not be served then.
+func EndRequest(r *http.Request) bool {
+	connection := connectionOf(r)
+	return connection == nil || connection.owner.endRequest(connection)
+}
--- /dev/null
+++ b/internal/inbound/connections.go
@@ -0,0 +1,214 @@
+// Package inbound bounds what peers hold of a node by the connections that they open: how many there are, and the memory of requests
+// that are arriving. When room is short, the connection on which a request arrives most slowly gives way. A request that has arrived as a
+// whole never does.
+package inbound
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/cloverwheel/cloverwheel/internal/memory"
+)
+
+const (
+	// acceptFailureTTL is how long a failed Accept makes the node not ready. The HTTP server retries
+	// within a second, but Accept does not return while no client connects.
+	acceptFailureTTL = 1500 * time.Millisecond
+	// minLateness is how far a request must be behind before its connection gives way to another: a crowd that connects at once must
+	// not end those whose requests are on their way.
+	minLateness = 20 * time.Millisecond
+	// slowLateness is how far it must be behind to give way before a connection that waits for its next request.
+	slowLateness = time.Second
+	// closingDivisor is the part of the limit that closed connections may exceed it by until their resources are free.
+	closingDivisor = 8 // one eighth
+)
+
+// Options are the options of Connections.
+type Options struct {
+	// Listener names the listener in logs and metrics.
+	Listener string
+	// Limit is the maximum number of connections; 0: unlimited.
+	Limit int
+	// ReserveMemory reserves memory for long heads; nil: without a limit.
+	ReserveMemory memory.Reserve
+	// CountClosed counts connections that were closed for others; nil: they are not counted.
+	CountClosed func(Reason)
+	Logger      log.Interface
+}
+
+// Connections are the open connections of one listener.
+type Connections struct {
+	options      Options
+	acceptFailed atomic.Pointer[time.Time] // time of the last Accept if it failed; nil: it succeeded
+
+	mutex   sync.Mutex
+	open    []*Connection
+	closing int // connections that were evicted and have not ended yet
+	report  report
+}
+
+// New returns the connections of a listener, none of them open.
+func New(options Options) *Connections {
+	return &Connections{options: options, report: newReport(options)}
+}
+
+// TrackState records the new state of a connection. It is the ConnState hook of http.Server.
+func (c *Connections) TrackState(conn net.Conn, state http.ConnState) {
+	connection, ok := conn.(*Connection)
+	if !ok {
+		return // of another listener
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch state {
+	case http.StateIdle:
+		connection.phase, connection.headRead = phaseIdle, false
+		connection.head, connection.progress = headSize{}, startProgress(time.Now())
+		connection.headMemory.Release()
+	case http.StateClosed, http.StateHijacked:
+		c.remove(connection)
+	}
+}
+
+// add adds a connection that was accepted. It returns nil if there is no room; the connection must be closed then.
+func (c *Connections) add(conn net.Conn, now time.Time) *Connection {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.makeRoom(now) {
+		c.report.add(ReasonFull, conn.RemoteAddr(), len(c.open), now)
+		return nil
+	}
+	connection := &Connection{Conn: conn, owner: c, position: len(c.open), progress: startProgress(now), headMemory: memory.NewGrant(c.options.ReserveMemory)}
+	c.open = append(c.open, connection)
+	return connection
+}
+
+// remove forgets a connection and releases its memory. The caller holds the mutex.
+func (c *Connections) remove(connection *Connection) {
+	connection.headMemory.Release()
+	if connection.evicted {
+		c.closing--
+		return
+	}
+	c.takeOut(connection)
+}
+
+// takeOut takes a connection out of the list. The caller holds the mutex.
+func (c *Connections) takeOut(connection *Connection) {
+	last := c.open[len(c.open)-1]
+	c.open[connection.position], last.position = last, connection.position
+	c.open = c.open[:len(c.open)-1]
+}
+
+// makeRoom makes room for one more connection. The caller holds the mutex.
+func (c *Connections) makeRoom(now time.Time) bool {
+	if !c.full() {
+		return true
+	}
+	if c.closing > c.options.Limit/closingDivisor {
+		return false
+	}
+	victim := c.givesWay(now)
+	if victim == nil {
+		return false
+	}
+	c.evict(victim, ReasonCrowded, now)
+	return true
+}
+
+// full reports whether the limit is reached. The caller holds the mutex.
+func (c *Connections) full() bool { return c.options.Limit > 0 && len(c.open) >= c.options.Limit }
+
+// givesWay returns the connection that gives way to a new one; nil: none does. The caller holds the mutex.
+func (c *Connections) givesWay(now time.Time) *Connection {
+	var slowest, idle *Connection
+	for _, each := range c.open {
+		switch {
+		case each.waitsForBytes() && (slowest == nil || each.progress.lateness(now) > slowest.progress.lateness(now)):
+			slowest = each
+		case each.phase == phaseIdle && (idle == nil || each.progress.since.Before(idle.progress.since)):
+			idle = each
+		}
+	}
+	lateness := time.Duration(0)
+	if slowest != nil {
+		lateness = slowest.progress.lateness(now)
+	}
+	switch {
+	case lateness >= slowLateness:
+		return slowest
+	case idle != nil:
+		return idle
+	case lateness >= minLateness:
+		return slowest
+	}
+	return nil
+}
+
+// evict closes a connection for others and releases its memory. The caller holds the mutex.
+func (c *Connections) evict(victim *Connection, reason Reason, now time.Time) {
+	c.report.add(reason, victim.RemoteAddr(), len(c.open), now)
+	victim.evicted = true
+	c.takeOut(victim)
+	c.closing++
+	victim.headMemory.Release()
+	if err := victim.Conn.Close(); err != nil {
+		c.options.Logger.WithError(err).WithField("listener", c.options.Listener).Warn("cannot close a connection for others; its server ends it")
+	}
+}
+
+// received records bytes that have arrived. It reports whether there is memory for them, if they belong to a head.
+func (c *Connections) received(connection *Connection, arrived []byte) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if connection.evicted || connection.phase == phaseServing {
+		return true
+	}
+	now := time.Now()
+	if connection.phase != phaseReceiving {
+		connection.phase, connection.progress = phaseReceiving, startProgress(now)
+	}
+	connection.progress.received(len(arrived), now)
+	if connection.headRead {
+		return true
+	}
+	connection.head.add(arrived)
+	return connection.headMemory.Grow(connection.head.memory(), headStep*headMemoryFactor)
+}
+
+// endHead states that the current head was read as a whole. Its memory stays reserved until the next request.
+func (c *Connections) endHead(connection *Connection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	connection.phase, connection.headRead = phaseReceiving, true
+}
+
+// endRequest states that the current request has arrived as a whole. It reports false if the connection was evicted before.
+func (c *Connections) endRequest(connection *Connection) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	connection.phase = phaseServing
+	return !connection.evicted
+}
+
+// Accepting reports whether new connections can be accepted.
+func (c *Connections) Accepting() bool {
+	if failed := c.acceptFailed.Load(); failed != nil && time.Since(*failed) < acceptFailureTTL {
+		return false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.full() || c.givesWay(time.Now()) != nil
+}
+
+// Open returns the number of open connections.
+func (c *Connections) Open() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.open)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/evacuation"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/inbound"
 	"github.com/cloverwheel/cloverwheel/internal/locality"
 	"github.com/cloverwheel/cloverwheel/internal/memory"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
@@ -133,7 +134,7 @@
 	origins        *streamOrigins
 	quarantine     *quarantine.Tracker
 	replicator     *quarantine.Replicator // of quarantine; nil likewise
-	clients        *clientConns
+	clients        *inbound.Connections
 	drain          chan struct{}
 	buffers        *memory.Budget // of what is held of requests and answers
 }
@@ -182,7 +183,7 @@
 		replicator:     parts.replicator,
 		invalidEntries: invalidEntries{},
 		finder:         finder,
-		clients:        newClientConns(clientLimit(options.Settings.Descriptors, options.Settings.MemoryBytes), buffers.Reserve, options.Logger),
+		clients:        newClientConnections(options, buffers.Reserve),
 		buffers:        buffers,
 		drain:          make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
@@ -263,7 +264,7 @@
 
 // Ready reports whether the node should get new connections.
 func (s *Server) Ready() bool {
-	return !s.RedirectsClients() && s.workersLoaded.Load() && s.origins.loaded() && !s.quarantine.Loading() && s.forwarder.Configuration() != nil && s.clients.accepting()
+	return !s.RedirectsClients() && s.workersLoaded.Load() && s.origins.loaded() && !s.quarantine.Loading() && s.forwarder.Configuration() != nil && s.clients.Accepting()
 }
 
 // ReserveBodyMemory reserves memory for a request body. It returns a function that releases the memory; ok is false if too much is
@@ -304,13 +305,13 @@
 		})
 	}
 	clientServer := &http.Server{
-		Handler:           endHeads(s.options.NewClientHandler(s)),
-		ConnContext:       withClientConnection,
+		Handler:           inbound.EndHeads(s.options.NewClientHandler(s)),
+		ConnContext:       inbound.WithConnection,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          newErrorLog(s.options.Logger),
-		ConnState:         s.clients.trackState,
+		ConnState:         s.clients.TrackState,
 	}
 	ready := s.newControlServer(s.options.NewReadyHandler(s))
 	err := s.serve(ctx, group, clientServer, s.options.Settings.ClientAddress, s.trackClients)
@@ -361,7 +362,7 @@
 
 // trackClients wraps the listener for clients.
 func (s *Server) trackClients(listener net.Listener) net.Listener {
-	return s.clients.trackListener(listener, s.options.Guards.Clients)
+	return s.clients.Listen(listener, s.options.Guards.Clients)
 }
 
 // serve starts a server at an address that the node cannot serve without. wrap wraps its listener; nil: it is used as it is.
