Memory is reserved for what has arrived of a body, and the slowest gives way (FAULT)

A body declared far over the limit was answered 503 instead of 413, so its client came back. Cause: the whole declared length was reserved before the first byte, a chunked body of over 64 KB reserved the limit, and both were kept for as long as the client's own deadline; the declared length was compared with the limit only as it was read. Fix: inbound.ReadBody looks at the declared length first, and reserves a buffer that grows fourfold with what has arrived (4 KB need no reservation). If there is no memory, connections that hold some and are further behind are closed; else the body is refused as before. Long bodies (over 64 KB) use at most three quarters, so that short ones find room. TestRequestBodyMemoryIsBounded asked for 503 for a body of 3 MB (over its limit of 1 MB) of which 2 bytes were sent: such a body is now 413, and one inside the limit is refused when it arrives; both are asked for, and that the same body is served when there is memory.

--- a/cmd/cloverwheeld/main.go
+++ b/cmd/cloverwheeld/main.go
@@ -132,7 +132,7 @@
 		},
 		DialTimeout: platform.DialTimeout,
 		NewClientHandler: func(s *server.Server) http.Handler {
-			return &platform.ClientHandler{Forwarder: s.Forwarder(), Draining: s.RedirectsClients, Admit: s.ReserveBodyMemory}
+			return &platform.ClientHandler{Forwarder: s.Forwarder(), Draining: s.RedirectsClients}
 		},
 		NewReadyHandler: func(s *server.Server) http.Handler { return platform.ReadyHandler(s.Ready) },
 		Metrics:         metrics,
--- a/internal/inbound/connection.go
+++ b/internal/inbound/connection.go
@@ -34,6 +34,7 @@
 	head       headSize // of the request that arrives
 	headRead   bool     // the handler has the head; the rest is the body
 	headMemory *memory.Grant
+	bodyMemory reservation
 	evicted    bool
 }
 
@@ -50,6 +51,15 @@
 // waitsForBytes reports whether the connection holds room although its peer has not sent a whole request.
 func (c *Connection) waitsForBytes() bool { return c.phase == phaseUnused || c.phase == phaseReceiving }
 
+// holdsMemory reports whether memory is reserved for the connection.
+func (c *Connection) holdsMemory() bool { return c.headMemory.Reserved() > 0 || c.bodyMemory.bytes > 0 }
+
+// freeMemory releases all memory that is reserved for the connection.
+func (c *Connection) freeMemory() {
+	c.headMemory.Release()
+	c.bodyMemory.free()
+}
+
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -34,8 +34,10 @@
 	Listener string
 	// Limit is the maximum number of connections; 0: unlimited.
 	Limit int
-	// ReserveMemory reserves memory for long heads; nil: without a limit.
+	// ReserveMemory reserves memory for long heads and for bodies, ReserveLong for long bodies, which leave a part of that memory to
+	// others; nil: without a limit.
 	ReserveMemory memory.Reserve
+	ReserveLong   memory.Reserve
 	// CountClosed counts connections that were closed for others; nil: they are not counted.
 	CountClosed func(Reason)
 	Logger      log.Interface
@@ -90,7 +92,7 @@
 
 // remove forgets a connection and releases its memory. The caller holds the mutex.
 func (c *Connections) remove(connection *Connection) {
-	connection.headMemory.Release()
+	connection.freeMemory()
 	if connection.evicted {
 		c.closing--
 		return
@@ -156,7 +158,7 @@
 	victim.evicted = true
 	c.takeOut(victim)
 	c.closing++
-	victim.headMemory.Release()
+	victim.freeMemory()
 	if err := victim.Conn.Close(); err != nil {
 		c.options.Logger.WithError(err).WithField("listener", c.options.Listener).Warn("cannot close a connection for others; its server ends it")
 	}
@@ -178,7 +180,7 @@
 		return true
 	}
 	connection.head.add(arrived)
-	return connection.headMemory.Grow(connection.head.memory(), headStep*headMemoryFactor)
+	return c.obtain(connection, func() bool { return connection.headMemory.Grow(connection.head.memory(), headStep*headMemoryFactor) })
 }
 
 // endHead states that the current head was read as a whole. Its memory stays reserved until the next request.
--- a/internal/inbound/report.go
+++ b/internal/inbound/report.go
@@ -12,6 +12,8 @@
 const (
 	ReasonFull    Reason = "full"    // a new connection was closed unread: no other gave way
 	ReasonCrowded Reason = "crowded" // a connection was closed for a new one
+	ReasonSlow    Reason = "slow"    // a connection was closed for the memory that another one needed
+	ReasonMemory  Reason = "memory"  // there was no memory for a request, and no other gave way
 )
 
 // reportInterval is the shortest time between two log lines for the same reason.
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -8,11 +8,15 @@
 type Budget struct {
 	limit int64
 	used  atomic.Int64
+	whole *Budget // the budget of which this one is a part; nil: none
 }
 
 // NewBudget returns a budget of limit bytes, none of them reserved.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
+// Part returns a budget of limit bytes that are taken from this one.
+func (b *Budget) Part(limit int64) *Budget { return &Budget{limit: limit, whole: b} }
+
 // Reserve reserves bytes until release is called, which must happen once. ok is false if less than that is left; nothing is
 // reserved then, and release is nil.
 func (b *Budget) Reserve(bytes int64) (release func(), ok bool) {
@@ -23,9 +27,23 @@
 		b.used.Add(-bytes)
 		return nil, false
 	}
-	return func() { b.used.Add(-bytes) }, true
+	if b.whole == nil {
+		return func() { b.used.Add(-bytes) }, true
+	}
+	releaseWhole, ok := b.whole.Reserve(bytes)
+	if !ok {
+		b.used.Add(-bytes)
+		return nil, false
+	}
+	return func() {
+		b.used.Add(-bytes)
+		releaseWhole()
+	}, true
 }
 
+// Limit returns the size of the budget in bytes.
+func (b *Budget) Limit() int64 { return b.limit }
+
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
@@ -57,6 +75,9 @@
 	return true
 }
 
+// Reserved returns the number of reserved bytes.
+func (g *Grant) Reserved() int64 { return g.reserved }
+
 // Release releases all of the grant.
 func (g *Grant) Release() {
 	for _, release := range g.releases {
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -54,3 +54,23 @@
 	require.Zero(t, b.Used())
 	require.True(t, NewGrant(nil).Grow(1<<40, 1))
 }
+
+// Guards against a part of a budget that takes more than its share, or that is not counted in the whole.
+func TestPartIsTakenFromTheWhole(t *testing.T) {
+	whole := NewBudget(100)
+	part := whole.Part(60)
+	_, ok := part.Reserve(61)
+	require.False(t, ok)
+	release, ok := part.Reserve(60)
+	require.True(t, ok)
+	require.EqualValues(t, 60, whole.Used())
+	_, ok = whole.Reserve(41)
+	require.False(t, ok)
+	release()
+	require.Zero(t, whole.Used())
+	_, ok = whole.Reserve(50)
+	require.True(t, ok)
+	_, ok = part.Reserve(60)
+	require.False(t, ok, "the rest of the whole is used")
+	require.Zero(t, part.Used())
+}
--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -27,12 +27,17 @@
 	return limit
 }
 
-// newClientConnections returns the connections of clients. reserve reserves the memory for long heads.
-func newClientConnections(options Options, reserve memory.Reserve) *inbound.Connections {
+// longBodyRatio is the part of the memory for buffers that long bodies may use. The rest is kept for short ones.
+const longBodyRatio = 0.75
+
+// newClientConnections returns the connections of clients. Memory for their requests is reserved from buffers.
+func newClientConnections(options Options, buffers *memory.Budget) *inbound.Connections {
+	longBodies := buffers.Part(int64(longBodyRatio * float64(buffers.Limit())))
 	return inbound.New(inbound.Options{
 		Listener:      "clients",
 		Limit:         clientLimit(options.Settings.Descriptors, options.Settings.MemoryBytes),
-		ReserveMemory: reserve,
+		ReserveMemory: buffers.Reserve,
+		ReserveLong:   longBodies.Reserve,
 		CountClosed:   func(reason inbound.Reason) { options.Metrics.ConnectionClosed("clients", reason) },
 		Logger:        options.Logger,
 	})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -183,7 +183,7 @@
 		replicator:     parts.replicator,
 		invalidEntries: invalidEntries{},
 		finder:         finder,
-		clients:        newClientConnections(options, buffers.Reserve),
+		clients:        newClientConnections(options, buffers),
 		buffers:        buffers,
 		drain:          make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
@@ -267,9 +267,9 @@
 	return !s.RedirectsClients() && s.workersLoaded.Load() && s.origins.loaded() && !s.quarantine.Loading() && s.forwarder.Configuration() != nil && s.clients.Accepting()
 }
 
-// ReserveBodyMemory reserves memory for a request body. It returns a function that releases the memory; ok is false if too much is
-// in use.
-func (s *Server) ReserveBodyMemory(bytes int64) (release func(), ok bool) {
+// ReserveBufferMemory reserves memory that requests and answers share. It returns a function that releases the memory; ok is false if
+// too much is in use.
+func (s *Server) ReserveBufferMemory(bytes int64) (release func(), ok bool) {
 	return s.buffers.Reserve(bytes)
 }
 
