Fields of heads reserve memory by their number (FAULT)

What callers saw: beside 1,500 clients that never finish a legal head of very many short, distinct fields 1 of 195 ordinary requests was served at 72 MB, beside 800 with such a head and a slow body 53 of 194, and a node passed its memory (72 MB; 75 beside several kinds at once) and was killed. Cause: memory was reserved as four times the bytes of a head. A field of four to seven bytes takes about 100 in the request's header, again in the copy that is forwarded and again in what is sent to a worker (measured in a trial: 104 and 102 bytes, 169 allocated while it is read), so that a legal head of 15 KB holds 0.7 MB where 60 KB were reserved.

--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -180,7 +180,7 @@
 		return true
 	}
 	connection.head.add(arrived)
-	return c.obtain(connection, func() bool { return connection.headMemory.Grow(connection.head.memory(), headStep*headMemoryFactor) })
+	return c.obtain(connection, func() bool { return connection.headMemory.Grow(connection.head.memory(), headStep) })
 }
 
 // endHead states that the current head was read as a whole. Its memory stays reserved until the next request.
--- a/internal/inbound/connections_test.go
+++ b/internal/inbound/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -222,23 +223,23 @@
 // Guards against heads of many requests that exceed the memory together, and against memory that is not released.
 func TestHeadsOfRequestsReserveMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const room = 4 * headStep * headMemoryFactor
+		const room = 4 * headStep
 		budget := memory.NewBudget(room)
 		c := New(Options{ReserveMemory: budget.Reserve, Logger: discardLogger})
 		short, long, late := open(t, c), open(t, c), open(t, c)
-		_, err := readTotal(short.Connection, freeHeadBytes)
+		_, err := readTotal(short.Connection, freeHeadMemory/headByteMemory)
 		require.NoError(t, err)
 		require.Zero(t, budget.Used(), "short heads need no reservation")
 
 		total, err := readTotal(long.Connection, 1<<20)
 		require.ErrorIs(t, err, errNoHeadMemory)
-		require.LessOrEqual(t, total*headMemoryFactor, room)
+		require.LessOrEqual(t, total*headByteMemory, room)
 		_, err = readTotal(late.Connection, 1<<20)
 		require.ErrorIs(t, err, errNoHeadMemory, "the long head holds all of the memory")
 		long.end()
 
 		late.idle()
-		_, err = readTotal(late.Connection, headStep)
+		_, err = readTotal(late.Connection, headStep/headByteMemory)
 		require.NoError(t, err)
 		c.endHead(late.Connection)
 		used := budget.Used()
@@ -249,3 +250,12 @@
 		require.Zero(t, budget.Used())
 	})
 }
+
+// Guards against heads of very many short fields, each of which takes far more memory than its bytes (FAULT).
+func TestFieldsOfHeadsReserveMemory(t *testing.T) {
+	ordinary, many := headSize{}, headSize{}
+	ordinary.add([]byte(strings.Repeat("X-Ordinary-Name: a value of some length\r\n", 20)))
+	require.Zero(t, ordinary.memory())
+	many.add([]byte(strings.Repeat("1a:\r\n", 3000)))
+	require.GreaterOrEqual(t, many.memory(), int64(3000*headLineMemory))
+}
--- a/internal/inbound/head.go
+++ b/internal/inbound/head.go
@@ -3,12 +3,14 @@
 import "bytes"
 
 const (
-	// freeHeadBytes is the part of a request's head that needs no reservation: the read buffer of its connection holds it.
-	freeHeadBytes = 4 << 10
+	// headByteMemory is the memory that a byte of a head takes, and headLineMemory what a line takes beyond its bytes: each field is an
+	// entry of the request's header, of the copy that is forwarded and of the one that is sent to a worker.
+	headByteMemory = 4
+	headLineMemory = 400
+	// freeHeadMemory is the memory in bytes that a head may take without a reservation: each connection has room for it.
+	freeHeadMemory = 16 << 10
 	// headStep is the step in which the memory of longer heads is reserved, in bytes.
-	headStep = 16 << 10
-	// headMemoryFactor is the memory that a byte of a head takes: as it is read, decoded and copied.
-	headMemoryFactor = 4
+	headStep = 64 << 10
 )
 
 // headSize is the size of what has arrived of a head.
@@ -23,10 +25,11 @@
 	h.lines += int64(bytes.Count(arrived, []byte{'\n'}))
 }
 
-// memory returns the memory that the head takes beyond what needs no reservation, in bytes.
+// memory returns the memory that has to be reserved for the head, in bytes.
 func (h *headSize) memory() int64 {
-	if h.bytes <= freeHeadBytes {
+	total := h.bytes*headByteMemory + h.lines*headLineMemory
+	if total <= freeHeadMemory {
 		return 0
 	}
-	return h.bytes * headMemoryFactor
+	return total
 }
