The addresses for readiness checks and operators bound their connections (FAULT)

What callers saw: beside 5,000 half heads at the readiness address 166 of 186 ordinary requests were served at 72 MB and the node held 65 MB (98 in the users' reading): whoever reaches that address can end the node. Cause: its listener had no bound. It took descriptors and memory from the clients', at some 12 KB a connection, for ten seconds each. Fix: both addresses have connections of their own (256 and 64), of which the one that makes the least progress gives way, so that a check that sends its head at once is answered whatever the others do. The limits come on top of the clients', which is the part kept for readiness.

--- a/internal/inbound/connection.go
+++ b/internal/inbound/connection.go
@@ -84,6 +84,16 @@
 	})
 }
 
+// WithoutBodies returns a handler for requests whose bodies are not read: each has arrived as a whole with its head.
+func WithoutBodies(next http.Handler) http.Handler {
+	return EndHeads(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		if !EndRequest(r) {
+			panic(http.ErrAbortHandler) // the connection was closed for others
+		}
+		next.ServeHTTP(out, r)
+	}))
+}
+
 // EndRequest states that a request has arrived as a whole, so that its connection no longer gives way to others. It reports false if
 // the connection was closed for others before; the request must not be served then.
 func EndRequest(r *http.Request) bool {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -313,10 +313,10 @@
 		ErrorLog:          newErrorLog(s.options.Logger),
 		ConnState:         s.clients.TrackState,
 	}
-	ready := s.newControlServer(s.options.NewReadyHandler(s))
-	err := s.serve(ctx, group, clientServer, s.options.Settings.ClientAddress, s.trackClients)
+	readiness := s.newControlServer("readiness", maxReadinessConnections, s.options.NewReadyHandler(s))
+	err := s.serve(ctx, group, clientServer, s.options.Settings.ClientAddress, s.listenToClients)
 	if err == nil {
-		err = s.serve(ctx, group, ready, s.options.Settings.ReadyAddress, nil)
+		err = s.serve(ctx, group, readiness.http, s.options.Settings.ReadyAddress, readiness.listen)
 	}
 	if errors.Is(err, errStoppedAtStart) {
 		s.options.Logger.WithError(err).Info("stopped")
@@ -326,16 +326,16 @@
 		return err
 	}
 	s.peers.serve(ctx, group, s)
-	metrics := s.newControlServer(s.operatorHandler())
+	operators := s.newControlServer("operators", maxOperatorConnections, s.operatorHandler())
 	if address := s.options.Settings.MetricsAddress; address != "" {
-		s.serveOptional(ctx, group, address, metrics.Serve)
+		s.serveOptional(ctx, group, address, operators.serve)
 	}
 	s.options.Logger.WithField("front", s.options.Settings.ClientAddress).Info("node started")
 	group.Go(func() error {
 		defer cancel()
 		s.awaitShutdown(ctx, clientServer)
 		s.releaseResources(ctx)
-		return errors.Join(ready.Close(), metrics.Close())
+		return errors.Join(readiness.http.Close(), operators.http.Close())
 	})
 	return group.Wait()
 }
@@ -345,37 +345,21 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 75 * time.Second
 	maxHeaderBytes    = 256 << 10
-	// maxControlHeaderBytes bounds the heads of readiness checks and operators' requests.
-	maxControlHeaderBytes = 4 << 10
 )
 
-// newControlServer returns a server for readiness checks or operators.
-func (s *Server) newControlServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxControlHeaderBytes,
-		ErrorLog:          newErrorLog(s.options.Logger),
-	}
-}
-
-// trackClients wraps the listener for clients.
-func (s *Server) trackClients(listener net.Listener) net.Listener {
+// listenToClients wraps the listener for clients.
+func (s *Server) listenToClients(listener net.Listener) net.Listener {
 	return s.clients.Listen(listener, s.options.Guards.Clients)
 }
 
-// serve starts a server at an address that the node cannot serve without. wrap wraps its listener; nil: it is used as it is.
+// serve starts a server at an address that the node cannot serve without. wrap bounds its connections.
 func (s *Server) serve(ctx context.Context, group *errgroup.Group, server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	listener, err := s.openWhenFree(ctx, address)
 	if err != nil {
 		return err
 	}
-	if wrap != nil {
-		listener = wrap(listener)
-	}
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
