Only the head counts as a head, and heads leave memory to short bodies (REFUSED)

What callers saw: beside 400 clients that send heads of short fields or long lists one after the other, 167 of 187 ordinary requests were served at 72 MB; the others were reset unread within milliseconds (17 of 17 errors: connection reset by peer). Cause: the first read of a connection brings up to 4 KB, of which all counted as the head, so that an ordinary request with a body needed a reservation for its head, and found the memory taken by heads. Beside that, requests that a busy processor had delayed by 20 ms gave way. Fix: bytes after the empty line do not count; long heads use the part of the memory that long bodies use; a request gives way for memory when it is 250 ms behind.

--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -164,7 +164,7 @@
 // slowestHolder returns the connection that holds reserved memory and whose request arrives most slowly, and more slowly than that of the
 // given one; nil: there is none. The caller holds the mutex.
 func (c *Connections) slowestHolder(other *Connection, now time.Time) (slowest *Connection) {
-	lateness := max(minLateness, other.progress.lateness(now))
+	lateness := max(heldLateness, other.progress.lateness(now))
 	for _, each := range c.open {
 		if each == other || each.phase != phaseReceiving || !each.holdsMemory() {
 			continue
--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -22,6 +22,8 @@
 	// minLateness is how far a request must be behind before its connection gives way to another: a crowd that connects at once must
 	// not end those whose requests are on their way.
 	minLateness = 20 * time.Millisecond
+	// heldLateness is how far it must be behind to give way to one that needs the memory it holds: more than a busy processor delays it.
+	heldLateness = 250 * time.Millisecond
 	// slowLateness is how far it must be behind to give way before a connection that waits for its next request.
 	slowLateness = time.Second
 	// closingDivisor is the part of the limit that closed connections may exceed it by until their resources are free.
@@ -34,8 +36,8 @@
 	Listener string
 	// Limit is the maximum number of connections; 0: unlimited.
 	Limit int
-	// ReserveMemory reserves memory for long heads and for bodies, ReserveLong for long bodies, which leave a part of that memory to
-	// others; nil: without a limit.
+	// ReserveMemory reserves memory for bodies, ReserveLong for long bodies and heads, which leave a part of that memory to others;
+	// nil: without a limit.
 	ReserveMemory memory.Reserve
 	ReserveLong   memory.Reserve
 	// CountClosed counts connections that were closed for others; nil: they are not counted.
@@ -85,7 +87,7 @@
 		c.report.add(ReasonFull, conn.RemoteAddr(), len(c.open), now)
 		return nil
 	}
-	connection := &Connection{Conn: conn, owner: c, position: len(c.open), progress: startProgress(now), headMemory: memory.NewGrant(c.options.ReserveMemory)}
+	connection := &Connection{Conn: conn, owner: c, position: len(c.open), progress: startProgress(now), headMemory: memory.NewGrant(c.options.ReserveLong)}
 	c.open = append(c.open, connection)
 	return connection
 }
--- a/internal/inbound/connections_test.go
+++ b/internal/inbound/connections_test.go
@@ -225,7 +225,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const room = 4 * headStep
 		budget := memory.NewBudget(room)
-		c := New(Options{ReserveMemory: budget.Reserve, Logger: discardLogger})
+		c := New(Options{ReserveLong: budget.Reserve, Logger: discardLogger})
 		short, long, late := open(t, c), open(t, c), open(t, c)
 		_, err := readTotal(short.Connection, freeHeadMemory/headByteMemory)
 		require.NoError(t, err)
@@ -259,3 +259,33 @@
 	many.add([]byte(strings.Repeat("1a:\r\n", 3000)))
 	require.GreaterOrEqual(t, many.memory(), int64(3000*headLineMemory))
 }
+
+// Guards against bodies that are counted as heads, which reserve more, and against heads whose end is missed (REFUSED).
+func TestHeadsEndWithAnEmptyLine(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		bytes int
+		lines int64
+		ended bool
+	}{
+		"with carriage returns":    {"GET / HTTP/1.1\r\nA: b\r\n\r\nbody\nof\n\nlines", 24, 3, true},
+		"without carriage returns": {"GET / HTTP/1.1\nA: b\n\nbody", 21, 3, true},
+		"not ended":                {"GET / HTTP/1.1\r\nA: b\r\n", 22, 2, false},
+		"a line of returns":        {"GET / HTTP/1.1\r\n\r\r\n", 19, 2, false},
+		"a return in a line":       {"GET / HTTP/1.1\r\nA:\r\r\n", 21, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for piece := 1; piece <= len(c.text); piece++ {
+				h := headSize{}
+				for rest := []byte(c.text); len(rest) > 0; {
+					size := min(piece, len(rest))
+					h.add(rest[:size])
+					rest = rest[size:]
+				}
+				require.EqualValues(t, c.bytes, h.bytes, "in pieces of %d bytes", piece)
+				require.Equal(t, c.lines, h.lines)
+				require.Equal(t, c.ended, h.ended)
+			}
+		})
+	}
+}
