Long histories and inputs of turns reserve memory before they are held (FAULT)

Cause: the input of each turn was joined with all before it into one new buffer, histories that were read from the table or another node were held without a bound, and so was what a turn's writing takes (a row, its encoding, the call). Fix: a history is sent in its parts, which are the cached turns themselves. A turn that is kept reserves its history, as it is read, and three times its input; 16 KB are free. If there is no memory, it is refused before it is sent: 503 with Retry-After, not run. Not bounded before they are reserved: answers of other nodes with a history (4 MB each, at most three asked at a time by a turn).

--- a/internal/forward/deadconnection_test.go
+++ b/internal/forward/deadconnection_test.go
@@ -57,7 +57,7 @@
 func (o *poolTransport) Send(ctx context.Context, worker *backend.Worker, call Call) (*Answer, error) {
 	o.sends.Add(1)
 	request := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: call.Request.Target}, Host: "h", Header: http.Header{},
-		Body: io.NopCloser(bytes.NewReader(call.Body)), ContentLength: int64(len(call.Body))}
+		Body: io.NopCloser(bytes.NewReader(bytes.Join(call.Body, nil))), ContentLength: int64(len(bytes.Join(call.Body, nil)))}
 	got, err := worker.Pool().Send(ctx, request)
 	if err != nil {
 		return nil, err
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -23,7 +23,7 @@
 	limitTaken       bool           // the request was counted against the tenant's rate limit
 	service          string         // service that the request is sent to
 	home             string         // key of the worker that holds the program's context; empty: none
-	body             []byte         // as sent to workers: the history and the request body
+	body             [][]byte       // as sent to workers, in parts: the history and the request body
 	out              Responder
 	startTime        time.Time
 	clock            stepClock
@@ -58,5 +58,6 @@
 	lastEventID      string                    // ID of the last event that the client has
 	output           []byte                    // the turn's output so far, to be stored
 	outputMemory     *memory.Grant             // for a long output
-	program          programState              // state of the program that the turn belongs to
+	turnMemory       *turnMemory
+	program          programState // state of the program that the turn belongs to
 }
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -121,7 +121,7 @@
 func (f *fixture) Send(ctx context.Context, worker *backend.Worker, call Call) (*Answer, error) {
 	id := worker.Record().ID
 	f.mutex.Lock()
-	f.calls = append(f.calls, sent{worker: id, resume: call.LastEventID, body: string(call.Body), tenant: call.Tenant, left: call.TimeLeft})
+	f.calls = append(f.calls, sent{worker: id, resume: call.LastEventID, body: string(bytes.Join(call.Body, nil)), tenant: call.Tenant, left: call.TimeLeft})
 	does, ended := f.scripts[id], f.ended[id]
 	f.mutex.Unlock()
 	if ended {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -43,6 +43,8 @@
 	// ReserveMemory reserves memory of the node for buffered bytes until release is called; ok is false
 	// if there is none left. nil: buffers are not counted.
 	ReserveMemory memory.Reserve
+	// ReserveLong is the same for long histories, which leave a part of that memory to others.
+	ReserveLong memory.Reserve
 	// Finder looks up workers that this node has not loaded; nil: all are loaded.
 	Finder WorkerFinder
 	// Capacity finds workers with free capacity; nil: workers are chosen by local information only.
@@ -132,9 +134,10 @@
 	defer done()
 	x := &exchange{
 		Forwarder: f, request: request, out: out, startTime: time.Now(), clientCtx: ctx, lastEventID: request.LastEventID,
-		outputMemory: memory.NewGrant(f.options.ReserveMemory),
+		outputMemory: memory.NewGrant(f.options.ReserveMemory), turnMemory: newTurnMemory(f.options.ReserveLong),
 	}
 	defer x.outputMemory.Release()
+	defer x.turnMemory.release()
 	refusal := x.serve(ctx)
 	x.releaseWorker()
 	x.returnToLimit()
--- a/internal/forward/history.go
+++ b/internal/forward/history.go
@@ -53,10 +53,10 @@
 // the program's last turns, else from the store.
 func (x *exchange) loadHistory(ctx context.Context, holders <-chan []budget.Holder) ([]*history.Turn, error) {
 	if cached := x.options.History.CachedChain(x.previousTurn()); cached != nil {
-		return cached, nil
+		return cached, x.turnMemory.addChain(cached)
 	}
 	if x.options.HistoryPeers == nil {
-		return x.options.History.Chain(ctx, x.previousTurn())
+		return x.options.History.AdmittedChain(ctx, x.previousTurn(), x.turnMemory.add)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -64,7 +64,7 @@
 	peerWait := make(chan time.Duration, 1)
 	go func() { results <- historyResult{turns: x.fetchFromPeers(ctx, holders, peerWait), fromPeer: true} }()
 	read := func() {
-		turns, err := x.options.History.Chain(ctx, x.previousTurn())
+		turns, err := x.options.History.AdmittedChain(ctx, x.previousTurn(), x.turnMemory.add)
 		results <- historyResult{turns: turns, err: err}
 	}
 	timer := time.NewTimer(holdersWait)
@@ -77,8 +77,11 @@
 			continue
 		case <-timer.C:
 		case result := <-results:
+			if result.turns != nil && result.fromPeer {
+				return x.adoptHistory(ctx, result)
+			}
 			if result.turns != nil {
-				return x.adoptHistory(ctx, result), nil
+				return result.turns, nil
 			}
 			if answered++; answered == 2 || result.err != nil {
 				return nil, result.err
@@ -92,12 +95,13 @@
 }
 
 // adoptHistory caches a history that another node returned.
-func (x *exchange) adoptHistory(ctx context.Context, result historyResult) []*history.Turn {
-	if result.fromPeer {
-		x.historyFromPeer = true
-		x.options.History.CacheChain(ctx, result.turns)
+func (x *exchange) adoptHistory(ctx context.Context, result historyResult) ([]*history.Turn, error) {
+	x.historyFromPeer = true
+	if err := x.turnMemory.addChain(result.turns); err != nil {
+		return nil, err
 	}
-	return result.turns
+	x.options.History.CacheChain(ctx, result.turns)
+	return result.turns, nil
 }
 
 // fetchFromPeers asks other nodes for the history; nil if none of them has it. Once the nodes to
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -27,7 +27,7 @@
 // servePlain serves a request whose answer is not a stream.
 func (x *exchange) servePlain(ctx context.Context) *fault.Error {
 	x.service = x.route.Service(x.route.Draw())
-	x.body = x.request.Body
+	x.body = [][]byte{x.request.Body}
 	if refusal := x.takeFromLimit(ctx); refusal != nil {
 		return refusal
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -55,7 +55,7 @@
 // Call is a request as it is sent to a worker.
 type Call struct {
 	Request     *Request
-	Body        []byte        // history and request body
+	Body        [][]byte      // history and request body, in parts
 	LastEventID string        // ID of the last event that the client has; empty: none
 	Priority    int           // 0 is the most urgent
 	Tenant      string        // empty: the request needed no key
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -54,7 +54,7 @@
 		return refusal
 	}
 	x.clock.enter(stepPlace, time.Now())
-	x.body = history.JoinInput(chain, x.request.Body)
+	x.body = history.InputParts(chain, x.request.Body)
 	if len(chain) > 0 && x.home == "" {
 		x.home = chain[len(chain)-1].Worker
 	}
@@ -149,6 +149,9 @@
 		})
 	}
 	err := group.Wait()
+	if err == nil && x.route.StoreTurns {
+		err = x.turnMemory.add(storedInputMemory * int64(len(x.request.Body)))
+	}
 	if err == nil {
 		return reservation, chain, nil
 	}
@@ -168,6 +171,9 @@
 }
 
 func (x *exchange) prepareError(ctx context.Context, err error) *fault.Error {
+	if errors.Is(err, errNoTurnMemory) {
+		return noTurnMemoryError()
+	}
 	if errors.Is(err, history.ErrNoTurn) {
 		return fault.Newf(fault.NotFound, "start a new program", "turn %q does not exist or has expired", x.request.PreviousTurn)
 	}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -46,7 +46,8 @@
 	Expires   time.Time
 }
 
-func (t *Turn) size() int { return len(t.Input) + len(t.Output) + 64*(len(t.Ancestors)+2) }
+// Size returns the memory that the turn takes, in bytes.
+func (t *Turn) Size() int { return len(t.Input) + len(t.Output) + 64*(len(t.Ancestors)+2) }
 
 // Options configures a TurnStore.
 type Options struct {
@@ -84,7 +85,16 @@
 // Chain returns the turns up to and including the one with the given ID, oldest first. It
 // fails with ErrNoTurn only if the store confirmed that a turn does not exist.
 func (s *TurnStore) Chain(ctx context.Context, id string) ([]*Turn, error) {
+	return s.AdmittedChain(ctx, id, func(int64) error { return nil })
+}
+
+// AdmittedChain is Chain with a limit: admit is called, also concurrently, with the size in bytes of each turn, and its error ends the
+// reading.
+func (s *TurnStore) AdmittedChain(ctx context.Context, id string, admit func(bytes int64) error) ([]*Turn, error) {
 	last, err := s.fetch(ctx, id)
+	if err == nil {
+		err = admit(int64(last.Size()))
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -93,14 +103,13 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxParallelCalls)
 	for index, ancestor := range last.Ancestors {
-		if known := s.cachedTurn(ancestor); known != nil {
-			chain[index] = known
-			continue
-		}
 		group.Go(func() error {
 			turn, err := s.fetch(ctx, ancestor)
+			if err != nil {
+				return err
+			}
 			chain[index] = turn
-			return err
+			return admit(int64(turn.Size()))
 		})
 	}
 	if err := group.Wait(); err != nil {
@@ -249,28 +258,20 @@
 		return
 	}
 	s.cache[turn.ID] = s.lru.PushFront(turn)
-	s.cachedBytes += turn.size()
+	s.cachedBytes += turn.Size()
 	for s.cachedBytes > s.options.CacheBytes && s.lru.Len() > 1 {
 		oldest := s.lru.Remove(s.lru.Back()).(*Turn)
 		delete(s.cache, oldest.ID)
-		s.cachedBytes -= oldest.size()
+		s.cachedBytes -= oldest.Size()
 	}
 }
 
-// JoinInput returns a worker's input: the inputs and outputs of the chain, followed by the new
+// InputParts returns a worker's input in parts, which are not copied: the inputs and outputs of the chain, followed by the new
 // input.
-func JoinInput(chain []*Turn, input []byte) []byte {
-	if len(chain) == 0 {
-		return input
-	}
-	size := len(input)
-	for _, turn := range chain {
-		size += len(turn.Input) + len(turn.Output)
-	}
-	joined := make([]byte, 0, size)
+func InputParts(chain []*Turn, input []byte) [][]byte {
+	parts := make([][]byte, 0, 2*len(chain)+1)
 	for _, turn := range chain {
-		joined = append(joined, turn.Input...)
-		joined = append(joined, turn.Output...)
+		parts = append(parts, turn.Input, turn.Output)
 	}
-	return append(joined, input...)
+	return append(parts, input)
 }
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -38,7 +38,7 @@
 		require.Len(t, chain, 3)
 		require.Equal(t, long.Input, chain[0].Input, "a turn that is split over several rows")
 		require.Equal(t, "a/1x", chain[1].ID)
-		require.Equal(t, string(long.Input)+"out\nin a/1xout\nin cout\nnew", string(JoinInput(chain, []byte("new"))))
+		require.Equal(t, string(long.Input)+"out\nin a/1xout\nin cout\nnew", string(bytes.Join(InputParts(chain, []byte("new")), nil)))
 	})
 }
 
--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -27,17 +27,14 @@
 	return limit
 }
 
-// longBodyRatio is the part of the memory for buffers that long bodies may use. The rest is kept for short ones.
-const longBodyRatio = 0.75
-
-// newClientConnections returns the connections of clients. Memory for their requests is reserved from buffers.
-func newClientConnections(options Options, buffers *memory.Budget) *inbound.Connections {
-	longBodies := buffers.Part(int64(longBodyRatio * float64(buffers.Limit())))
+// newClientConnections returns the connections of clients. reserve reserves the memory of their requests, and reserveLong that of long
+// ones.
+func newClientConnections(options Options, reserve, reserveLong memory.Reserve) *inbound.Connections {
 	return inbound.New(inbound.Options{
 		Listener:      "clients",
 		Limit:         clientLimit(options.Settings.Descriptors, options.Settings.MemoryBytes),
-		ReserveMemory: buffers.Reserve,
-		ReserveLong:   longBodies.Reserve,
+		ReserveMemory: reserve,
+		ReserveLong:   reserveLong,
 		CountClosed:   func(reason inbound.Reason) { options.Metrics.ConnectionClosed("clients", reason) },
 		Logger:        options.Logger,
 	})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -144,6 +144,8 @@
 	// buffers of requests and answers, and cached turns, may use.
 	bufferMemoryDivisor  = 8 // one eighth
 	historyMemoryDivisor = 10
+	// longBufferRatio is the part of the memory for buffers that long bodies, heads and histories may use. The rest is kept for others.
+	longBufferRatio = 0.75
 	// groupCommitMemoryDivisor sets the part for rows that wait to be written for other nodes.
 	groupCommitMemoryDivisor = 32
 	// heapLimitRatio is the part of the memory at which the garbage collector becomes more
@@ -167,6 +169,7 @@
 	parts := newComponents(options, gate, peers, verifier, workers)
 	finder := &workerFinder{workers: workers, gate: gate, prefixWorkers: map[string]prefixWorkers{}, countLookup: options.Metrics.WorkerLookup}
 	buffers := memory.NewBudget(options.Settings.MemoryBytes / bufferMemoryDivisor)
+	long := buffers.Part(int64(longBufferRatio * float64(buffers.Limit())))
 	var s *Server
 	s = &Server{
 		options:        options,
@@ -183,7 +186,7 @@
 		replicator:     parts.replicator,
 		invalidEntries: invalidEntries{},
 		finder:         finder,
-		clients:        newClientConnections(options, buffers),
+		clients:        newClientConnections(options, buffers.Reserve, long.Reserve),
 		buffers:        buffers,
 		drain:          make(chan struct{}),
 		sweeper: sweep.New(sweep.Options{
@@ -204,6 +207,7 @@
 			Isolated:        func() bool { return s.Isolated() },
 			WarmupLimiter:   parts.allowance,
 			ReserveMemory:   buffers.Reserve,
+			ReserveLong:     long.Reserve,
 			Finder:          finder,
 			Origins:         parts.origins.client,
 			Quarantine:      parts.quarantine,
