A request without a route is refused without its body; early refusals are logged and counted (processor time, memory)

What callers saw: bodies of 4 MiB to paths without a route were read and held whole before the 404; 413 and 431 left no line in the log, so that an operator could not see such a crowd. Fix: the route is looked up before the body is read (Forwarder.RefuseUnrouted); connections that are closed and requests that are refused before they had arrived are one line a second for each reason, with their number and one address, and cloverwheel_refused_early_total.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -128,6 +128,25 @@
 	return fault.New(fault.Unavailable, "this node has not loaded a configuration yet", "retry after the delay in Retry-After").WithRetryAfter(noConfigRetryAfter)
 }
 
+// noRouteError returns the refusal of a request without a route.
+func noRouteError(configuration *route.Configuration) *fault.Error {
+	return fault.Newf(fault.NotFound, "check the host and path, or ask the operator to add a route", "configuration version %d has no route for this host and path", configuration.Version)
+}
+
+// RefuseUnrouted refuses a request without a route, whose body is not needed for that. It reports false if there is a route, or no
+// configuration yet.
+func (f *Forwarder) RefuseUnrouted(request *Request, out Responder) bool {
+	configuration := f.Configuration()
+	if configuration == nil || configuration.Match(request.Host, request.Path) != nil {
+		return false
+	}
+	refusal := noRouteError(configuration)
+	x := &exchange{Forwarder: f, request: request, out: out, startTime: time.Now()}
+	out.Refuse(refusal)
+	x.logOutcome(refusal)
+	return true
+}
+
 // Serve answers a request through out, exactly once. ctx must end when the client disconnects.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, out Responder) {
 	done := f.countBeforeClosing()
@@ -162,7 +181,7 @@
 	}
 	x.route = configuration.Match(x.request.Host, x.request.Path)
 	if x.route == nil {
-		return fault.Newf(fault.NotFound, "check the host and path, or ask the operator to add a route", "configuration version %d has no route for this host and path", configuration.Version)
+		return noRouteError(configuration)
 	}
 	limit := x.timeLimit()
 	if limit <= 0 {
--- a/internal/inbound/connection.go
+++ b/internal/inbound/connection.go
@@ -94,6 +94,13 @@
 	}))
 }
 
+// Refused reports that a request was refused before it had arrived as a whole.
+func Refused(r *http.Request, reason Reason) {
+	if connection := connectionOf(r); connection != nil {
+		connection.owner.refused(connection, reason)
+	}
+}
+
 // EndRequest states that a request has arrived as a whole, so that its connection no longer gives way to others. It reports false if
 // the connection was closed for others before; the request must not be served then.
 func EndRequest(r *http.Request) bool {
--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -40,9 +40,9 @@
 	// nil: without a limit.
 	ReserveMemory memory.Reserve
 	ReserveLong   memory.Reserve
-	// CountClosed counts connections that were closed for others; nil: they are not counted.
-	CountClosed func(Reason)
-	Logger      log.Interface
+	// CountRefused counts connections that were closed and requests that were refused before they had arrived; nil: they are not counted.
+	CountRefused func(Reason)
+	Logger       log.Interface
 }
 
 // Connections are the open connections of one listener.
@@ -200,6 +200,13 @@
 	return !connection.evicted
 }
 
+// refused reports a request that was refused before it had arrived.
+func (c *Connections) refused(connection *Connection, reason Reason) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.report.add(reason, connection.RemoteAddr(), len(c.open), time.Now())
+}
+
 // Accepting reports whether new connections can be accepted.
 func (c *Connections) Accepting() bool {
 	if failed := c.acceptFailed.Load(); failed != nil && time.Since(*failed) < acceptFailureTTL {
--- a/internal/inbound/report.go
+++ b/internal/inbound/report.go
@@ -14,12 +14,16 @@
 	ReasonCrowded Reason = "crowded" // a connection was closed for a new one
 	ReasonSlow    Reason = "slow"    // a connection was closed for the memory that another one needed
 	ReasonMemory  Reason = "memory"  // there was no memory for a request, and no other gave way
+	ReasonTooLong Reason = "long"    // a head or a body was longer than the configuration allows
 )
 
 // reportInterval is the shortest time between two log lines for the same reason.
 const reportInterval = time.Second
 
-// report logs how many connections were closed, at most one line per reason and reportInterval.
+// lineRefused is the message of the lines of a report.
+const lineRefused = "connections closed or requests refused before they had arrived"
+
+// report logs how many connections were closed and requests refused, at most one line per reason and reportInterval.
 type report struct {
 	options  Options
 	byReason map[Reason]*tally
@@ -33,10 +37,10 @@
 
 func newReport(options Options) report { return report{options, map[Reason]*tally{}} }
 
-// add counts a connection that was closed. from is its peer, and open the number of open connections.
+// add counts a connection that was closed or a request that was refused. from is its peer, and open the number of open connections.
 func (r *report) add(reason Reason, from net.Addr, open int, now time.Time) {
-	if r.options.CountClosed != nil {
-		r.options.CountClosed(reason)
+	if r.options.CountRefused != nil {
+		r.options.CountRefused(reason)
 	}
 	counted, ok := r.byReason[reason]
 	if !ok {
@@ -47,8 +51,8 @@
 	if now.Sub(counted.logged) < reportInterval {
 		return
 	}
-	r.options.Logger.WithField("listener", r.options.Listener).WithField("reason", string(reason)).WithField("closed", counted.count).
-		WithField("open", open).WithField("from", addressOf(from)).Warn("closed connections before their requests had arrived")
+	r.options.Logger.WithField("listener", r.options.Listener).WithField("reason", string(reason)).WithField("count", counted.count).
+		WithField("open", open).WithField("from", addressOf(from)).Warn(lineRefused)
 	counted.count, counted.logged = 0, now
 }
 
--- a/internal/server/clients.go
+++ b/internal/server/clients.go
@@ -35,7 +35,7 @@
 		Limit:         clientLimit(options.Settings.Descriptors, options.Settings.MemoryBytes),
 		ReserveMemory: reserve,
 		ReserveLong:   reserveLong,
-		CountClosed:   func(reason inbound.Reason) { options.Metrics.ConnectionClosed("clients", reason) },
+		CountRefused:  func(reason inbound.Reason) { options.Metrics.RefusedEarly("clients", reason) },
 		Logger:        options.Logger,
 	})
 }
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -26,10 +26,10 @@
 // newControlServer returns a server for readiness checks or operators, named listener in logs and metrics.
 func (s *Server) newControlServer(listener string, limit int, handler http.Handler) controlServer {
 	connections := inbound.New(inbound.Options{
-		Listener:    listener,
-		Limit:       limit,
-		CountClosed: func(reason inbound.Reason) { s.options.Metrics.ConnectionClosed(listener, reason) },
-		Logger:      s.options.Logger,
+		Listener:     listener,
+		Limit:        limit,
+		CountRefused: func(reason inbound.Reason) { s.options.Metrics.RefusedEarly(listener, reason) },
+		Logger:       s.options.Logger,
 	})
 	return controlServer{connections: connections, http: &http.Server{
 		Handler:           inbound.WithoutBodies(handler),
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -28,7 +28,7 @@
 	// InvalidEntries counts entries of the worker list that do not decode to a worker.
 	InvalidEntries prometheus.Counter
 
-	connectionsClosed *prometheus.CounterVec // by listener and reason
+	refusedEarly *prometheus.CounterVec // by listener and reason
 
 	limitAnswers *prometheus.CounterVec // by outcome
 	coldAnswers  *prometheus.CounterVec // by outcome
@@ -84,8 +84,8 @@
 	m.workerLookups = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "list_questions_total", Help: "Questions to the list of workers for some that this node does not keep, by what was asked for and what came of it."}, []string{"found"})
 	m.streamRecords = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "stream_records_total", Help: "Records of the software versions that began streams by whether another node got them (sent) or did not answer (lost)."}, []string{"result"})
 	m.quarantineSent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "quarantine_messages_total", Help: "Messages that tell other nodes under which work workers ended, by whether these answered (reached) or not (missed)."}, []string{"result"})
-	m.connectionsClosed = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "connections_closed_total", Help: "Connections that were closed before their requests had arrived, by listener and reason."}, []string{"listener", "reason"})
-	registry.MustRegister(m.connectionsClosed, m.quarantineSent, m.streamRecords, m.workerLookups, m.limitAnswers, m.coldAnswers, m.deadConnections, m.grants, m.roundTrips, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
+	m.refusedEarly = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "refused_early_total", Help: "Connections that were closed and requests that were refused before they had arrived, by listener and reason."}, []string{"listener", "reason"})
+	registry.MustRegister(m.refusedEarly, m.quarantineSent, m.streamRecords, m.workerLookups, m.limitAnswers, m.coldAnswers, m.deadConnections, m.grants, m.roundTrips, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
 	m.RelayedCalls = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
 	m.InvalidEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "foreign_worker_entries_total", Help: "Entries of the list of workers that appeared or changed and name no worker."})
 	registry.MustRegister(m.Dials, m.WorkerProbes, m.RelayedCalls, m.InvalidEntries, m.tableCalls, m.tableBytes)
@@ -98,9 +98,9 @@
 	m.limitAnswers.WithLabelValues(string(outcome)).Inc()
 }
 
-// ConnectionClosed counts a connection that was closed before its request had arrived.
-func (m *Metrics) ConnectionClosed(listener string, reason inbound.Reason) {
-	m.connectionsClosed.WithLabelValues(listener, string(reason)).Inc()
+// RefusedEarly counts a connection that was closed, or a request that was refused, before it had arrived.
+func (m *Metrics) RefusedEarly(listener string, reason inbound.Reason) {
+	m.refusedEarly.WithLabelValues(listener, string(reason)).Inc()
 }
 
 // StreamRecords counts records of the software versions that began streams.
