--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -26,8 +26,9 @@
 	heldLateness = 250 * time.Millisecond
 	// slowLateness is how far it must be behind to give way before a connection that waits for its next request.
 	slowLateness = time.Second
-	// closingDivisor is the part of the limit that closed connections may exceed it by until their resources are free.
-	closingDivisor = 8 // one eighth
+	// closingDivisor is the part of the limit that closed connections may exceed it by until their resources are free. net/http keeps a
+	// connection whose request it refused unread for half a second.
+	closingDivisor = 2 // one half
 )
 
 // Options are the options of Connections.
@@ -49,6 +50,8 @@
 type Connections struct {
 	options      Options
 	acceptFailed atomic.Pointer[time.Time] // time of the last Accept if it failed; nil: it succeeded
+	// unboundedOnce logs that the unread bytes of connections cannot be bounded.
+	unboundedOnce sync.Once
 
 	mutex   sync.Mutex
 	open    []*Connection
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -7,6 +7,23 @@
 	"github.com/cloverwheel/cloverwheel/internal/deadconn"
 )
 
+// maxUnreadBytes bounds what the kernel holds of a connection's bytes that have arrived and are not read yet. These bytes are memory of the
+// process on machines that count them.
+const maxUnreadBytes = 32 << 10
+
+// boundUnread bounds the bytes of a connection that have arrived and are not read yet, if its network can.
+func (c *Connections) boundUnread(conn net.Conn) {
+	bounded, ok := conn.(interface{ SetReadBuffer(bytes int) error })
+	if !ok {
+		return
+	}
+	if err := bounded.SetReadBuffer(maxUnreadBytes); err != nil {
+		c.unboundedOnce.Do(func() {
+			c.options.Logger.WithError(err).WithField("listener", c.options.Listener).Warn("cannot bound the unread bytes of connections; the kernel's own bound holds")
+		})
+	}
+}
+
 // Listen wraps a listener, so that its connections are bounded. The guard detects dead connections.
 func (c *Connections) Listen(listener net.Listener, guard deadconn.Guard) net.Listener {
 	return &boundedListener{Listener: deadconn.Listener{Listener: listener, Guard: guard}, connections: c}
@@ -28,6 +45,7 @@
 		}
 		l.connections.acceptFailed.Store(nil)
 		if connection := l.connections.add(conn, now); connection != nil {
+			l.connections.boundUnread(conn)
 			return connection, nil
 		}
 		if err := conn.Close(); err != nil {
