--- a/internal/inbound/connection.go
+++ b/internal/inbound/connection.go
@@ -35,6 +35,8 @@
 	headRead   bool     // the handler has the head; the rest is the body
 	headMemory *memory.Grant
 	bodyMemory reservation
+	sending    bool     // bytes of an answer wait until the peer takes them
+	taken      progress // of the peer that takes them
 	evicted    bool
 }
 
@@ -48,6 +50,24 @@
 	return count, err
 }
 
+// writePiece is the size in bytes of the pieces in which long writes are passed on, so that the progress of the peer is seen.
+const writePiece = 16 << 10
+
+// Write implements net.Conn.
+func (c *Connection) Write(data []byte) (written int, err error) {
+	c.owner.beginSending(c)
+	defer c.owner.endSending(c)
+	for {
+		piece := data[written:min(written+writePiece, len(data))]
+		count, err := c.Conn.Write(piece)
+		written += count
+		if err != nil || written == len(data) {
+			return written, err
+		}
+		c.owner.sent(c, count)
+	}
+}
+
 // waitsForBytes reports whether the connection holds room although its peer has not sent a whole request.
 func (c *Connection) waitsForBytes() bool { return c.phase == phaseUnused || c.phase == phaseReceiving }
 
--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -1,6 +1,6 @@
 // Package inbound bounds what peers hold of a node by the connections that they open: how many there are, and the memory of requests
-// that are arriving. When room is short, the connection on which a request arrives most slowly gives way. A request that has arrived as a
-// whole never does.
+// that are arriving. When room is short, the connection on which a request arrives most slowly gives way, and last of all one whose
+// peer does not take its answer. A request that waits for a worker never does.
 package inbound
 
 import (
@@ -22,7 +22,8 @@
 	// minLateness is how far a request must be behind before its connection gives way to another: a crowd that connects at once must
 	// not end those whose requests are on their way.
 	minLateness = 20 * time.Millisecond
-	// heldLateness is how far it must be behind to give way to one that needs the memory it holds: more than a busy processor delays it.
+	// heldLateness is how far it must be behind to give way to one that needs the memory it holds, and how far a peer must be behind
+	// that does not take its answer: more than a busy processor delays either.
 	heldLateness = 250 * time.Millisecond
 	// slowLateness is how far it must be behind to give way before a connection that waits for its next request.
 	slowLateness = time.Second
@@ -131,11 +132,16 @@
 // full reports whether the limit is reached. The caller holds the mutex.
 func (c *Connections) full() bool { return c.options.Limit > 0 && len(c.open) >= c.options.Limit }
 
-// givesWay returns the connection that gives way to a new one; nil: none does. The caller holds the mutex.
+// givesWay returns the connection that gives way to a new one; nil: none does. One whose request is being served gives way only if its
+// peer does not take the answer, and after all others. The caller holds the mutex.
 func (c *Connections) givesWay(now time.Time) *Connection {
-	var slowest, idle *Connection
+	var slowest, idle, untaken *Connection
 	for _, each := range c.open {
 		switch {
+		case each.sending && !each.waitsForBytes():
+			if untaken == nil || each.taken.lateness(now) > untaken.taken.lateness(now) {
+				untaken = each
+			}
 		case each.waitsForBytes() && (slowest == nil || each.progress.lateness(now) > slowest.progress.lateness(now)):
 			slowest = each
 		case each.phase == phaseIdle && (idle == nil || each.progress.since.Before(idle.progress.since)):
@@ -153,6 +159,8 @@
 		return idle
 	case lateness >= minLateness:
 		return slowest
+	case untaken != nil && untaken.taken.lateness(now) >= heldLateness:
+		return untaken
 	}
 	return nil
 }
@@ -188,6 +196,27 @@
 	return c.obtain(connection, func() bool { return connection.headMemory.Grow(connection.head.memory(), headStep) })
 }
 
+// beginSending states that bytes of an answer are being sent.
+func (c *Connections) beginSending(connection *Connection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	connection.sending, connection.taken = true, startProgress(time.Now())
+}
+
+// sent records bytes of an answer that the network has taken.
+func (c *Connections) sent(connection *Connection, count int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	connection.taken.received(count, time.Now())
+}
+
+// endSending states that all bytes were sent, or that sending failed.
+func (c *Connections) endSending(connection *Connection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	connection.sending = false
+}
+
 // endHead states that the current head was read as a whole. Its memory stays reserved until the next request.
 func (c *Connections) endHead(connection *Connection) {
 	c.mutex.Lock()
--- a/internal/inbound/connections_test.go
+++ b/internal/inbound/connections_test.go
@@ -158,6 +158,56 @@
 	})
 }
 
+// stuckConn is a connection whose peer takes what is sent in pieces, when the test lets it.
+type stuckConn struct {
+	fakeConn
+	takes chan int
+}
+
+func (c *stuckConn) Write(data []byte) (int, error) {
+	if _, ok := <-c.takes; !ok {
+		return 0, net.ErrClosed
+	}
+	return len(data), nil
+}
+
+// Guards against clients that ask for answers, do not take them, and keep all places (FAULT), and against cutting off one that does.
+func TestPeerThatDoesNotTakeItsAnswerGivesWayLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newConnections(2)
+		peers := []*stuckConn{{takes: make(chan int)}, {takes: make(chan int)}}
+		answered := make(chan error, len(peers))
+		var connections []*Connection
+		for _, peer := range peers {
+			connection := c.add(peer, time.Now())
+			_, _ = connection.Read(make([]byte, 100))
+			require.True(t, c.endRequest(connection))
+			connections = append(connections, connection)
+		}
+		time.Sleep(time.Hour)
+		require.False(t, c.Accepting(), "both wait for their workers")
+		for _, connection := range connections {
+			go func() {
+				_, err := connection.Write(make([]byte, 3*writePiece))
+				answered <- err
+			}()
+		}
+		synctest.Wait()
+		require.False(t, c.Accepting(), "they may be about to take their answers")
+		peers[0].takes <- 1
+		time.Sleep(heldLateness)
+		peers[0].takes <- 1
+		synctest.Wait()
+		open(t, c)
+		require.True(t, peers[1].closed, "it has taken nothing")
+		require.False(t, peers[0].closed)
+		close(peers[1].takes)
+		require.Error(t, <-answered)
+		peers[0].takes <- 1
+		require.NoError(t, <-answered)
+	})
+}
+
 // Guards against a burst that keeps a place for as long as a steady sender would take for it.
 func TestBytesThatCameEarlyGiveNoCredit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
