--- a/internal/forward/turnmemory_test.go
+++ b/internal/forward/turnmemory_test.go
@@ -67,3 +67,12 @@
 		require.Zero(t, free.Used())
 	})
 }
+// Guards against memory that stays reserved because a reading which was given up still reserves some when its turn has ended (FAULT).
+func TestMemoryOfAnEndedTurnIsNotReserved(t *testing.T) {
+	free := memory.NewBudget(1 << 20)
+	m := newTurnMemory(free.Reserve)
+	require.NoError(t, m.add(100<<10))
+	m.release()
+	require.ErrorIs(t, m.add(100<<10), errNoTurnMemory)
+	require.Zero(t, free.Used())
+}
