--- a/internal/forward/turnmemory_test.go
+++ b/internal/forward/turnmemory_test.go
@@ -67,6 +67,7 @@
 		require.Zero(t, free.Used())
 	})
 }
+
 // Guards against memory that stays reserved because a reading which was given up still reserves some when its turn has ended (FAULT).
 func TestMemoryOfAnEndedTurnIsNotReserved(t *testing.T) {
 	free := memory.NewBudget(1 << 20)
