--- a/review/.standins-2/case_resume.go
+++ b/review/.standins-2/case_resume.go
@@ -55,14 +55,14 @@
 	}
 	expected := map[string]string{}
 	for program := range 10 {
-		turn := func(input, previous, after string, stopAfter, number int) (string, reply) {
+		turn := func(input, previous, after, resumes string, stopAfter, number int) (string, reply) {
 			header := map[string]string{"Program-Id": fmt.Sprintf("p%d", program), "Session-Id": fmt.Sprintf("s%d", program), "Finish-Ms": "9000",
 				"Token-Budget": "4600", "Token-Usage": "840,40", "Model": "m", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,e440%04x:40", program)}
 			if previous != "" {
 				header["Previous-Turn"] = previous
 			}
 			if after != "" {
-				header["Last-Event-Id"] = after
+				header["Last-Event-Id"], header["Resumes"] = after, resumes
 			}
 			r := request{id: newID(), method: "POST", target: "/dialog/4b", host: "ficu95.example", header: header, body: input, deadline: 3 * time.Second}
 			got := send(b.nodes[number%len(b.nodes)].front, r, stopAfter)
@@ -72,17 +72,17 @@
 		input := fmt.Sprintf("input-%d-1\n", program)
 		id, got := "", reply{}
 		if b.trouble {
-			turn(input, "", "", 4, 0) // the client's connection breaks after four events
+			broken, _ := turn(input, "", "", "", 4, 0) // the client's connection breaks after four events
 			time.Sleep(100 * time.Millisecond)
-			id, got = turn(input, "", "4", 0, 1)
+			id, got = turn(input, "", "4", broken, 0, 1)
 		} else {
-			id, got = turn(input, "", "", 0, 1)
+			id, got = turn(input, "", "", "", 0, 1)
 		}
 		if got.status != 200 || !got.whole {
 			continue
 		}
 		second := fmt.Sprintf("input-%d-2\n", program)
-		next, _ := turn(second, id, "", 0, 2)
+		next, _ := turn(second, id, "", "", 0, 2)
 		expected[next] = input + output + second
 	}
 	checked := 0
