--- a/review/.standins-2/worker.go
+++ b/review/.standins-2/worker.go
@@ -187,3 +187,6 @@
 	_, err := io.WriteString(s.out, "0\r\n\r\n")
 	return err
 }
+
+// streamEvents is the number of events of a whole stream.
+const streamEvents = 10
