--- a/review/.standins-2/main.go
+++ b/review/.standins-2/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -35,6 +37,13 @@
 		os.Exit(2)
 	})
 	defer ended.Stop()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		b.stop()
+		os.Exit(2)
+	}()
 	b.note("trouble: %v", b.trouble)
 	if err := cases[os.Args[1]](b); err != nil {
 		b.note("the case could not run: %v", err)
