--- a/review/.standins-2/case_memory.go
+++ b/review/.standins-2/case_memory.go
@@ -140,6 +140,7 @@
 			previous = ""
 		}
 		id, program := newID(), index/memoryTurns
+		p.note("sent %s", id)
 		connection.SetDeadline(time.Now().Add(6 * time.Second))
 		_, err := io.WriteString(connection, p.turn(id, previous, client, program, index))
 		var answer *http.Response
@@ -155,6 +156,11 @@
 			_, err = io.Copy(io.Discard, answer.Body)
 		}
 		used++
+		status := 0
+		if answer != nil {
+			status = answer.StatusCode
+		}
+		p.note("answered %s: status %d, whole %v", id, status, err == nil)
 		if err != nil || answer.StatusCode != http.StatusOK {
 			p.failed.Add(1)
 			previous, index = "", index-index%memoryTurns+memoryTurns-1 // the conversation ends
--- a/review/.standins-2/client.go
+++ b/review/.standins-2/client.go
@@ -48,6 +48,14 @@
 // send sends a request on a new connection and reads the answer. stopAfter > 0 ends the reading after so many events, and the
 // connection is then closed, as it is when it breaks.
 func send(address string, r request, stopAfter int) reply {
+	played.note("sent %s %s %s to %s", r.id, r.method, r.target, address)
+	got := exchange(address, r, stopAfter)
+	played.note("answered %s: status %d, %d bytes, whole %v, error %v", r.id, got.status, len(got.body), got.whole, got.err)
+	return got
+}
+
+// exchange does what send says.
+func exchange(address string, r request, stopAfter int) reply {
 	connection, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return reply{err: err}
--- a/review/.standins-2/node.go
+++ b/review/.standins-2/node.go
@@ -30,6 +30,9 @@
 	broken []string
 }
 
+// played is the play of this process. Clients and workers note there what they send, answer and run.
+var played *bench
+
 // node is one process of the system.
 type node struct {
 	name, front, ready string
@@ -70,6 +73,7 @@
 			break
 		}
 	}
+	played = b
 	b.store, err = startStore(b.ip(1))
 	return b, err
 }
--- a/review/.standins-2/worker.go
+++ b/review/.standins-2/worker.go
@@ -116,6 +116,7 @@
 		w.runs = append(w.runs, kept)
 		w.mutex.Unlock()
 		if run.Declined {
+			played.note("declined %s at %s", run.ID, w.id)
 			status := "421 Misdirected Request"
 			if run.ID == "" {
 				status = "400 Bad Request"
@@ -123,7 +124,10 @@
 			fmt.Fprintf(connection, "HTTP/1.1 %s\r\nNot-Executed: 1\r\nInstance-Id: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", status, w.id, run.ID)
 			continue
 		}
-		if !w.serve(w, connection, run) {
+		played.note("runs %s at %s", run.ID, w.id)
+		keep := w.serve(w, connection, run)
+		played.note("run ended %s at %s, answer written %v", run.ID, w.id, keep)
+		if !keep {
 			return
 		}
 	}
