--- a/review/.standins-2/case_takeup.go
+++ b/review/.standins-2/case_takeup.go
@@ -14,7 +14,11 @@
 	brokenStreams = 40
 	newStreams    = 12
 	takeUpTries   = 3
-	leastTakenUp  = 12 // streams from which on the rule counts
+	longStream    = 20                     // events of a stream, one each eventGap
+	brokenAfter   = 15                     // events, after which a client's connection breaks
+	eventGap      = 100 * time.Millisecond // between the events of a stream
+	releaseGap    = 940 * time.Millisecond // between the workers of a release, as on a day of the site
+	leastTakenUp  = 12                     // streams from which on the rule counts
 )
 
 // takeUpPlay is what the clients of playTakeUp share.
@@ -24,10 +28,12 @@
 
 	mutex                         sync.Mutex
 	takenUp, goneOn, begun, ended int
+	lastTry                       time.Time // when a stream was last sent to be taken up
 }
 
 // playTakeUp lets streams break off at the clients' side, and be taken up again at another node. Two workers of each of two software versions
-// serve. With trouble those of the older version have just said that they drain, and go on serving until well after the streams are over.
+// serve. With trouble those of the older version say one after the other that they drain, and go on serving until well after the streams are
+// over. All streams are taken up within drainMs of the first of them.
 func playTakeUp(b *bench) error {
 	p := &takeUpPlay{bench: b}
 	const service = "vine-agents"
@@ -38,8 +44,8 @@
 	serve := func(w *worker, out io.Writer, run workerRun) bool {
 		after, _ := strconv.Atoi(run.Header.Get("Last-Event-Id"))
 		answer := beginStream(w, out, run)
-		for number := after + 1; number <= streamEvents; number++ {
-			time.Sleep(100 * time.Millisecond)
+		for number := after + 1; number <= longStream; number++ {
+			time.Sleep(eventGap)
 			if answer.event(number, "four tokens of "+w.id) != nil {
 				return false
 			}
@@ -70,14 +76,15 @@
 	for index := range brokenStreams {
 		clients.Go(func() { p.breakOff(index) })
 	}
-	time.Sleep(300 * time.Millisecond)
-	if b.trouble {
-		for index, w := range p.workers[:2] {
-			put(w, zoneNames[index], "v1", "draining")
+	time.Sleep(150 * time.Millisecond)
+	var drained []time.Time
+	for index, w := range p.workers[:2] {
+		if b.trouble {
+			drained = append(drained, put(w, zoneNames[index], "v1", "draining"))
 			b.note("worker %s of v1 says draining, and the store has acknowledged it; it serves on", w.id)
 		}
+		time.Sleep(releaseGap)
 	}
-	time.Sleep(400 * time.Millisecond)
 	for index := range newStreams {
 		clients.Go(func() {
 			_, got := p.attempt(1000+index, "", "", 0, 0)
@@ -90,6 +97,9 @@
 		})
 	}
 	clients.Wait()
+	if b.trouble && p.lastTry.Sub(drained[0]) > drainTime {
+		return fmt.Errorf("the last stream was taken up %d ms after the first worker drained", p.lastTry.Sub(drained[0]).Milliseconds())
+	}
 	b.note("%d streams of v1 were taken up, %d went on; %d new streams were sent, %d were served", p.takenUp, p.goneOn, p.begun, p.ended)
 	if p.takenUp < leastTakenUp {
 		return fmt.Errorf("only %d streams began at v1", p.takenUp)
@@ -102,7 +112,7 @@
 
 // attempt sends a request of a stream, from after an event on if that is not empty.
 func (p *takeUpPlay) attempt(index int, after, resumes string, stopAfter, node int) (string, reply) {
-	header := map[string]string{"Program-Id": fmt.Sprintf("p%d", index), "Session-Id": "s", "Finish-Ms": "9000", "Token-Budget": "4600", "Token-Usage": "840,40", "Model": "m",
+	header := map[string]string{"Program-Id": fmt.Sprintf("p%d", index), "Session-Id": "s", "Finish-Ms": "9000", "Token-Budget": "4600", "Token-Usage": "840,80", "Model": "m",
 		"Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,e4%04x:40", index)}
 	if after != "" {
 		header["Last-Event-Id"], header["Resumes"] = after, resumes
@@ -114,15 +124,18 @@
 	return r.id, got
 }
 
-// breakOff begins a stream, whose connection breaks after five events, and takes it up again if it began at the older version.
+// breakOff begins a stream, whose connection breaks after brokenAfter events, and takes it up again if it began at the older version.
 func (p *takeUpPlay) breakOff(index int) {
-	id, got := p.attempt(index, "", "", 5, 0)
+	id, got := p.attempt(index, "", "", brokenAfter, 0)
 	if got.status != 200 || !p.ranAtFirstVersion(id) {
 		return
 	}
 	wentOn := false
 	for try := 1; try <= takeUpTries && !wentOn; try++ {
-		_, again := p.attempt(index, "5", id, 0, try)
+		p.mutex.Lock()
+		p.lastTry = time.Now()
+		p.mutex.Unlock()
+		_, again := p.attempt(index, fmt.Sprint(brokenAfter), id, 0, try)
 		if wentOn = again.status == 200 && again.whole; !wentOn {
 			time.Sleep(200 * time.Millisecond)
 		}
