--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/httpconn"
 	"github.com/cloverwheel/cloverwheel/internal/memory"
 	"github.com/cloverwheel/cloverwheel/internal/route"
+	"github.com/cloverwheel/cloverwheel/internal/streamcopy"
 	"github.com/cloverwheel/cloverwheel/internal/tenant"
 )
 
@@ -58,6 +59,9 @@
 	lastEventID      string                    // ID of the last event that the client has
 	output           []byte                    // the turn's output so far, to be stored
 	outputMemory     *memory.Grant             // for a long output
+	resumed          streamcopy.Attempt        // what the client had got of the turn before this request
+	recording        *streamcopy.Recording     // of the events that the client gets; nil: none was relayed, or they are not copied
+	uncopied         int                       // number of events that left while no other node had them
 	turnMemory       *turnMemory
 	program          programState // state of the program that the turn belongs to
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,8 @@
 	// Origins remembers which software version began each stream; nil: streams of earlier requests are continued only
 	// while the listed workers of their service all run one version.
 	Origins StreamOrigins
+	// Copies keeps copies of what clients have got of turns that are stored; nil: no turn that is stored can be resumed by its client.
+	Copies StreamCopies
 	// Quarantine remembers under which work workers ended; nil: this forwarder remembers it for itself.
 	Quarantine *quarantine.Tracker
 	// Prober queries workers' health when there is no other information on whether they are warm;
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -34,6 +34,8 @@
 	// ResumedStreams counts requests that resume a stream of an earlier request, by how the software version that
 	// began it is known.
 	ResumedStreams *prometheus.CounterVec
+	// RestoredOutputs counts requests that resume a turn that is stored, by what came of looking for what its client had got.
+	RestoredOutputs *prometheus.CounterVec
 	// ContinuedStreams counts sends of streams that are continued after an event, by which answer has the
 	// earlier events.
 	ContinuedStreams *prometheus.CounterVec
@@ -68,7 +70,8 @@
 	m.Admissions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "program_admissions_total", Help: "Turns of programs with a time by why they were let in (under_way, room, in_time, promised, untimed) or refused (too_late, crowded, leaves)."}, []string{"reason"})
 	m.ContinuedStreams = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "streams_continued_total", Help: "Sends of streams that are continued after an event, by whether this answer has the earlier events (answer) or the client's earlier requests (request)."}, []string{"since"})
 	m.ResumedStreams = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "streams_resumed_total", Help: "Requests that resume a stream of an earlier request by how the software version that began it is known (here, asked, sole), or unknown, which is refused."}, []string{"origin"})
-	registry.MustRegister(m.ResumedStreams, m.ContinuedStreams, m.Admissions, m.Requests, m.Duration, m.FirstEvent, m.SendsByDistance, m.BlockedSends, m.AttemptsDropped)
+	m.RestoredOutputs = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "turns_resumed_total", Help: "Requests that resume a turn that is kept by what came of looking for a copy of its earlier events: found, none or ambiguous, of which the last two are refused."}, []string{"copy"})
+	registry.MustRegister(m.RestoredOutputs, m.ResumedStreams, m.ContinuedStreams, m.Admissions, m.Requests, m.Duration, m.FirstEvent, m.SendsByDistance, m.BlockedSends, m.AttemptsDropped)
 	return m
 }
 
@@ -114,6 +117,9 @@
 	if x.request.Program != "" {
 		fields["program"] = x.request.Program
 	}
+	if x.uncopied > 0 {
+		fields["uncopied"] = x.uncopied
+	}
 	if x.events > 0 {
 		fields["events"] = x.events
 		fields["version"] = x.relayedVersion()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,8 +42,10 @@
 	// for longer ones is reserved, in bytes.
 	freeOutputBytes = 16 << 10
 	outputStep      = 64 << 10
-	// outputMemoryFactor is the memory that a byte of a turn's output takes: as it grows, it is copied.
-	outputMemoryFactor = 2
+	// keptOutputFactor is the memory that a byte of a turn's output takes: as it grows, it is copied. copiedOutputFactor is the same if the
+	// output is copied to other nodes: it is held twice, and sent.
+	keptOutputFactor   = 2
+	copiedOutputFactor = 5
 )
 
 // slowClientDelay is the least write time of an event after which a broken stream is attributed
@@ -242,14 +244,18 @@
 
 // keepOutput appends an event's data to the output of a turn that is stored. It reports whether there is memory for it.
 func (x *exchange) keepOutput(data []byte) bool {
-	length := len(x.output) + len(data) + len("\n")
-	if length > freeOutputBytes && !x.outputMemory.Grow(int64(length)*outputMemoryFactor, outputStep) {
+	if !x.reserveOutput(len(x.output) + len(data) + len("\n")) {
 		return false
 	}
 	x.output = append(append(x.output, data...), '\n')
 	return true
 }
 
+// reserveOutput reserves the memory of an output with a length in bytes. It reports whether there is enough.
+func (x *exchange) reserveOutput(length int) bool {
+	return length <= freeOutputBytes || x.outputMemory.Grow(int64(length)*x.outputMemoryFactor(), outputStep)
+}
+
 // relayEvent relays an event to the client.
 func (x *exchange) relayEvent(answer *Answer, event eventstream.Event) error {
 	if err := x.sendHead(answer); err != nil {
@@ -258,6 +264,7 @@
 	if x.route.StoreTurns && !x.keepOutput(event.Data) {
 		return errNoOutputMemory
 	}
+	x.copyEvent(event)
 	x.events++
 	if len(event.ID) > 0 {
 		x.lastEventID = string(event.ID)
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -42,6 +42,9 @@
 	if refusal := x.resume(ctx); refusal != nil {
 		return refusal
 	}
+	if refusal := x.restoreOutput(ctx); refusal != nil {
+		return refusal
+	}
 	if x.startsRetainedProgram() && x.version == nil {
 		x.service = x.chooseService()
 		if refusal := x.admitProgram(ctx, configuration, 1); refusal != nil {
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -9,6 +9,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
 	"github.com/cloverwheel/cloverwheel/internal/store"
+	"github.com/cloverwheel/cloverwheel/internal/streamcopy"
 	"github.com/cloverwheel/cloverwheel/internal/warmup"
 )
 
@@ -26,6 +27,8 @@
 	allowance forward.WarmupLimiter
 	// origins remembers which software versions began streams.
 	origins *streamOrigins
+	// copies keeps copies of what clients have got of turns that are stored.
+	copies *streamcopy.Client
 	// quarantine remembers under which work workers ended, and replicator exchanges that with other nodes; replicator is nil
 	// likewise.
 	quarantine *quarantine.Tracker
@@ -66,6 +69,7 @@
 		allowance: newColdAllowance(options, peers, verifier, dir),
 		capacity:  newCapacityTracker(options, peers, verifier, dir),
 		origins:   newStreamOrigins(options, relayed, peers, dir.Owners, workers.SoftwareVersions),
+		copies:    newStreamCopies(options, peers, dir.Owners),
 
 		quarantine: tracker,
 		replicator: newQuarantineReplicator(options, tracker, peers, dir),
@@ -79,6 +83,7 @@
 		history: history.New(options.historyOptions(gate)),
 		store:   gate,
 		origins: newStreamOrigins(options, gate, peers, noNodes, workers.SoftwareVersions),
+		copies:  newStreamCopies(options, peers, noNodes),
 
 		quarantine: newQuarantineTracker(options),
 	}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -43,6 +43,7 @@
 	workerLookups      *prometheus.CounterVec // by target and result
 	streamRecords      *prometheus.CounterVec // by result
 	quarantineSent     *prometheus.CounterVec // by result
+	copiedEvents       *prometheus.CounterVec // by result
 
 	commitCalls    *prometheus.CounterVec // by outcome
 	commitRows     prometheus.Histogram
@@ -85,7 +86,8 @@
 	m.streamRecords = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "stream_records_total", Help: "Records of the software versions that began streams by whether another node got them (sent) or did not answer (lost)."}, []string{"result"})
 	m.quarantineSent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "quarantine_messages_total", Help: "Messages that tell other nodes under which work workers ended, by whether these answered (reached) or not (missed)."}, []string{"result"})
 	m.refusedEarly = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "refused_early_total", Help: "Connections that were closed and requests that were refused before they had arrived, by listener and reason."}, []string{"listener", "reason"})
-	registry.MustRegister(m.refusedEarly, m.quarantineSent, m.streamRecords, m.workerLookups, m.limitAnswers, m.coldAnswers, m.deadConnections, m.grants, m.roundTrips, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
+	m.copiedEvents = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "stream_events_copied_total", Help: "Events of kept turns that clients may resume by whether another node had a copy when they left (copied) or not (missed)."}, []string{"result"})
+	registry.MustRegister(m.copiedEvents, m.refusedEarly, m.quarantineSent, m.streamRecords, m.workerLookups, m.limitAnswers, m.coldAnswers, m.deadConnections, m.grants, m.roundTrips, m.nodeMessages, m.nodeBytes, m.evacuated, m.evacuationRevision)
 	m.RelayedCalls = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "table_relayed_calls_total", Help: "Calls to the table that other nodes were asked to make."})
 	m.InvalidEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "foreign_worker_entries_total", Help: "Entries of the list of workers that appeared or changed and name no worker."})
 	registry.MustRegister(m.Dials, m.WorkerProbes, m.RelayedCalls, m.InvalidEntries, m.tableCalls, m.tableBytes)
@@ -109,6 +111,15 @@
 	m.streamRecords.WithLabelValues("lost").Add(float64(lost))
 }
 
+// CopiedEvent counts an event of a turn that its client may resume, by whether another node had a copy of it when it left.
+func (m *Metrics) CopiedEvent(copied bool) {
+	result := "missed"
+	if copied {
+		result = "copied"
+	}
+	m.copiedEvents.WithLabelValues(result).Inc()
+}
+
 // WorkerLookup counts a lookup in the store of workers that this node does not have.
 func (m *Metrics) WorkerLookup(result string) { m.workerLookups.WithLabelValues(result).Inc() }
 
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/peer"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
+	"github.com/cloverwheel/cloverwheel/internal/streamcopy"
 	"github.com/cloverwheel/cloverwheel/internal/streamorigin"
 	"github.com/cloverwheel/cloverwheel/internal/timing"
 	"github.com/cloverwheel/cloverwheel/internal/warmup"
@@ -52,6 +54,9 @@
 	// methodRecordStreams sends to a holder which software versions began streams, and methodFindStream asks it.
 	methodRecordStreams = "streams.record"
 	methodFindStream    = "streams.find"
+	// methodAppendStream sends events of a turn to a node that holds a copy of them, and methodReadStream asks it.
+	methodAppendStream = "streams.append"
+	methodReadStream   = "streams.read"
 	// methodShareQuarantine tells another node which work ends workers, or asks it.
 	methodShareQuarantine = "quarantine.share"
 	// methodProof reads a node's proof that its configuration is the newest.
@@ -93,6 +98,9 @@
 	Attach(address peer.Address, mux *peer.Mux)
 }
 
+// errRegionNotAllowed is returned for content that may not be sent to the region of a node.
+var errRegionNotAllowed = errors.New("the content may not be sent to the node's region")
+
 // peers is the node's endpoint for calls from and to other nodes.
 type peers struct {
 	address   string // address of this node; empty: it runs without peers
@@ -179,7 +187,7 @@
 
 // peerClient calls other nodes and measures the latency of each zone. It implements budget.Peers,
 // directory.Peers, directory.GrantPeers, quota.Peers, warmup.Peers, capacity.Peers,
-// groupcommit.Peers, streamorigin.Peers, quarantine.Peers and forward.HistoryPeers.
+// groupcommit.Peers, streamorigin.Peers, streamcopy.Peers, quarantine.Peers and forward.HistoryPeers.
 type peerClient struct {
 	transport *meteredTransport
 	latencies timing.LatencyEstimates // by zone of the called process
@@ -311,6 +319,22 @@
 	return callPeer[streamorigin.FindAnswer](peer.WithRepeatable(ctx), c, holder, methodFindStream, request)
 }
 
+// AppendStream implements streamcopy.Peers.
+func (c *peerClient) AppendStream(ctx context.Context, holder budget.Holder, request streamcopy.AppendRequest) (streamcopy.AppendAnswer, error) {
+	if !mayPassThrough(ctx, c.transport.location.Zones, holder) {
+		return streamcopy.AppendAnswer{}, errRegionNotAllowed
+	}
+	return callPeer[streamcopy.AppendAnswer](peer.WithRepeatable(ctx), c, holder, methodAppendStream, request)
+}
+
+// ReadStream implements streamcopy.Peers.
+func (c *peerClient) ReadStream(ctx context.Context, holder budget.Holder, request streamcopy.ReadRequest) (streamcopy.ReadAnswer, error) {
+	if !mayPassThrough(ctx, c.transport.location.Zones, holder) {
+		return streamcopy.ReadAnswer{}, errRegionNotAllowed
+	}
+	return callPeer[streamcopy.ReadAnswer](peer.WithRepeatable(ctx), c, holder, methodReadStream, request)
+}
+
 // ShareQuarantine implements quarantine.Peers.
 func (c *peerClient) ShareQuarantine(ctx context.Context, holder budget.Holder, request quarantine.ShareRequest) (quarantine.ShareAnswer, error) {
 	return callPeer[quarantine.ShareAnswer](peer.WithRepeatable(ctx), c, holder, methodShareQuarantine, request)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -148,6 +148,8 @@
 	longBufferRatio = 0.75
 	// groupCommitMemoryDivisor sets the part for rows that wait to be written for other nodes.
 	groupCommitMemoryDivisor = 32
+	// streamCopyMemoryDivisor sets the part for copies of turns that clients may resume.
+	streamCopyMemoryDivisor = 32
 	// heapLimitRatio is the part of the memory at which the garbage collector becomes more
 	// aggressive.
 	heapLimitRatio = 0.7
@@ -210,6 +212,7 @@
 			ReserveLong:     long.Reserve,
 			Finder:          finder,
 			Origins:         parts.origins.client,
+			Copies:          parts.copies,
 			Quarantine:      parts.quarantine,
 			Prober:          options.Prober,
 			Capacity:        parts.capacity.forwarderCapacity(),
--- a/internal/streamorigin/client.go
+++ b/internal/streamorigin/client.go
@@ -173,7 +173,7 @@
 
 // send sends records to their holders. A holder that does not answer is replaced once, by the next in the stream's order.
 func (c *Client) send(entries []Entry) {
-	others := byRegion(c.options.Location, c.options.Nodes())
+	others := ByRegion(c.options.Location, c.options.Nodes())
 	if len(others) == 0 {
 		return
 	}
@@ -193,7 +193,7 @@
 func groupByHolder(entries []Entry, nodes []budget.Holder, from, to int) map[budget.Holder][]Entry {
 	groups := map[budget.Holder][]Entry{}
 	for _, entry := range entries {
-		ranked := rank(entry.Stream, nodes)
+		ranked := Rank(entry.Stream, nodes)
 		for _, holder := range ranked[min(from, len(ranked)):min(to, len(ranked))] {
 			groups[holder] = append(groups[holder], entry)
 		}
@@ -260,8 +260,8 @@
 // holdersToAsk returns the nodes that may hold the record of a stream: some of each region, since a client may come
 // back through another one.
 func (c *Client) holdersToAsk(stream uint64) (holders []budget.Holder) {
-	for _, group := range byRegion(c.options.Location, c.options.Nodes()) {
-		ranked := rank(stream, group)
+	for _, group := range ByRegion(c.options.Location, c.options.Nodes()) {
+		ranked := Rank(stream, group)
 		holders = append(holders, ranked[:min(asked, len(ranked))]...)
 	}
 	return holders
--- a/internal/streamorigin/holders.go
+++ b/internal/streamorigin/holders.go
@@ -18,9 +18,9 @@
 	asked = copies + 1
 )
 
-// rank orders nodes by the hash of their address and the stream (rendezvous hashing): all nodes that know the same others
+// Rank orders nodes by the hash of their address and the stream (rendezvous hashing): all nodes that know the same others
 // compute the same order. The second is in another zone than the first if there is one, so that records outlast a zone.
-func rank(stream uint64, nodes []budget.Holder) []budget.Holder {
+func Rank(stream uint64, nodes []budget.Holder) []budget.Holder {
 	type scored struct {
 		node  budget.Holder
 		score uint64
@@ -46,8 +46,8 @@
 	return ranked
 }
 
-// byRegion groups nodes by their region; the node's own region comes first, if it has other nodes.
-func byRegion(location locality.Location, nodes []budget.Holder) (groups [][]budget.Holder) {
+// ByRegion groups nodes by their region; the node's own region comes first, if it has other nodes.
+func ByRegion(location locality.Location, nodes []budget.Holder) (groups [][]budget.Holder) {
 	own := location.OwnRegion()
 	regions := map[string][]budget.Holder{}
 	for _, node := range nodes {
--- a/internal/streamorigin/records_test.go
+++ b/internal/streamorigin/records_test.go
@@ -62,17 +62,17 @@
 			zone := fmt.Sprint("zone-", number%zones)
 			nodes = append(nodes, budget.Holder{Process: locality.ProcessName(zone, fmt.Sprint("n", number), "1"), Address: fmt.Sprint("10.0.0.", number)})
 		}
-		ranked := rank(stream, nodes)
+		ranked := Rank(stream, nodes)
 		require.ElementsMatch(t, nodes, ranked)
 		if zones > 1 {
 			require.NotEqual(t, ranked[0].Zone(), ranked[1].Zone())
 		}
 		shuffled := rapid.Permutation(nodes).Draw(t, "order")
-		require.Equal(t, ranked, rank(stream, shuffled))
+		require.Equal(t, ranked, Rank(stream, shuffled))
 
 		sender, asker := rapid.SampledFrom(nodes).Draw(t, "sender"), rapid.SampledFrom(nodes).Draw(t, "asker")
-		holders := rank(stream, without(nodes, sender))[:copies]
-		askedNodes := append(rank(stream, without(nodes, asker))[:min(asked, len(nodes)-1)], asker) // it looks at its own records first
+		holders := Rank(stream, without(nodes, sender))[:copies]
+		askedNodes := append(Rank(stream, without(nodes, asker))[:min(asked, len(nodes)-1)], asker) // it looks at its own records first
 		require.True(t, slices.ContainsFunc(holders, func(holder budget.Holder) bool { return slices.Contains(askedNodes, holder) }))
 	})
 }
