--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -4,10 +4,8 @@
 package history
 
 import (
-	"bytes"
 	"container/list"
 	"context"
-	"encoding/gob"
 	"errors"
 	"slices"
 	"sync"
@@ -16,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cloverwheel/cloverwheel/internal/locality"
+	"github.com/cloverwheel/cloverwheel/internal/memory"
 	"github.com/cloverwheel/cloverwheel/internal/store"
 )
 
@@ -36,7 +35,7 @@
 var ErrNoTurn = errors.New("turn not found; start a new program")
 
 // Turn is a finished turn. Except for Expires, it is immutable once written. It is
-// encoded with gob, so its fields keep their names.
+// sent between nodes with gob, so its fields keep their names.
 type Turn struct {
 	ID        string
 	Ancestors []string // IDs of the earlier turns, oldest first
@@ -56,6 +55,8 @@
 	// Region is the region of this node. Turns that are restricted to other regions are
 	// not cached.
 	Region string
+	// Reserve reserves memory for the earlier turns that a turn's rows hold while these are written; without it they hold none. nil: no limit.
+	Reserve memory.Reserve
 	// BatchWriter batches the first write of a turn with those of other nodes. Nil: no
 	// batching.
 	BatchWriter BatchWriter
@@ -88,36 +89,6 @@
 	return s.AdmittedChain(ctx, id, func(int64) error { return nil })
 }
 
-// AdmittedChain is Chain with a limit: admit is called, also concurrently, with the size in bytes of each turn, and its error ends the
-// reading.
-func (s *TurnStore) AdmittedChain(ctx context.Context, id string, admit func(bytes int64) error) ([]*Turn, error) {
-	last, err := s.fetch(ctx, id)
-	if err == nil {
-		err = admit(int64(last.Size()))
-	}
-	if err != nil {
-		return nil, err
-	}
-	chain := make([]*Turn, len(last.Ancestors)+1)
-	chain[len(last.Ancestors)] = last
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxParallelCalls)
-	for index, ancestor := range last.Ancestors {
-		group.Go(func() error {
-			turn, err := s.fetch(ctx, ancestor)
-			if err != nil {
-				return err
-			}
-			chain[index] = turn
-			return admit(int64(turn.Size()))
-		})
-	}
-	if err := group.Wait(); err != nil {
-		return nil, err
-	}
-	return chain, nil
-}
-
 // CachedChain returns a chain if all of it is cached, else nil. It makes no store call.
 func (s *TurnStore) CachedChain(id string) []*Turn {
 	last := s.cachedTurn(id)
@@ -142,39 +113,40 @@
 	}
 }
 
-func (s *TurnStore) fetch(ctx context.Context, id string) (*Turn, error) {
+// fetch returns a turn from the cache, else from the store with the earlier turns that its rows hold, oldest first.
+func (s *TurnStore) fetch(ctx context.Context, id string) ([]*Turn, error) {
 	if known := s.cachedTurn(id); known != nil {
-		return known, nil
+		return []*Turn{known}, nil
 	}
-	turn, err := s.read(ctx, id)
+	turns, err := s.read(ctx, id)
 	if err != nil {
 		return nil, err
 	}
-	s.cacheTurn(ctx, turn)
-	return turn, nil
+	s.CacheChain(ctx, turns)
+	return turns, nil
 }
 
-// placeResult is the content of one place; turn is nil if it does not have the turn.
+// placeResult is the content of one place: a turn and earlier ones, oldest first; empty if it does not have the turn.
 type placeResult struct {
 	place int
-	turn  *Turn
+	turns []*Turn
 }
 
-// read reads a turn from its places. It returns ErrNoTurn only if all places answered
+// read reads a turn, and the earlier ones that its rows hold, from its places. It returns ErrNoTurn only if all places answered
 // that they do not have it.
-func (s *TurnStore) read(ctx context.Context, id string) (*Turn, error) {
+func (s *TurnStore) read(ctx context.Context, id string) ([]*Turn, error) {
 	var missing [placeCount]bool
 	found, err := firstAccepted(ctx, store.HedgeDelayAtLeast(s.options.Store, readPlaceTimeout), func(ctx context.Context, place int) (placeResult, error) {
-		turn, err := s.readPlace(ctx, id, place)
-		return placeResult{place: place, turn: turn}, err
+		turns, err := s.readPlace(ctx, id, place)
+		return placeResult{place: place, turns: turns}, err
 	}, func(found placeResult) bool {
-		missing[found.place] = missing[found.place] || found.turn == nil
-		return found.turn != nil
+		missing[found.place] = missing[found.place] || len(found.turns) == 0
+		return len(found.turns) > 0
 	})
-	if found.turn == nil && !slices.Contains(missing[:], false) {
+	if len(found.turns) == 0 && !slices.Contains(missing[:], false) {
 		return nil, ErrNoTurn
 	}
-	return found.turn, err
+	return found.turns, err
 }
 
 // Write sets the expiry of a turn, writes the turn and returns once it is stored in one of its
@@ -187,12 +159,12 @@
 	turn.Expires = time.Now().Add(retention + maxLag)
 	group, limited := errgroup.WithContext(ctx)
 	group.SetLimit(maxParallelCalls)
-	for _, earlier := range chain {
+	for index, earlier := range chain {
 		if turn.Expires.Sub(earlier.Expires) > maxLag {
-			group.Go(func() error { return s.renew(limited, earlier, turn.Expires) })
+			group.Go(func() error { return s.renew(limited, earlier, chain[:index], turn.Expires) })
 		}
 	}
-	group.Go(func() error { return s.write(limited, turn) })
+	group.Go(func() error { return s.write(limited, turn, chain) })
 	if err := group.Wait(); err != nil {
 		return err
 	}
@@ -200,28 +172,50 @@
 	return nil
 }
 
-// renew extends the expiry of a turn. The caller does so only once much of the retention
+// renew extends the expiry of a turn, given the turns before it. The caller does so only once much of the retention
 // has passed, so that most turns need not renew their chain.
-func (s *TurnStore) renew(ctx context.Context, earlier *Turn, expires time.Time) error {
+func (s *TurnStore) renew(ctx context.Context, earlier *Turn, before []*Turn, expires time.Time) error {
 	renewed := *earlier
 	renewed.Expires = expires
-	if err := s.write(ctx, &renewed); err != nil {
+	if err := s.write(ctx, &renewed, before); err != nil {
 		return err
 	}
 	s.replaceCached(&renewed)
 	return nil
 }
 
-func (s *TurnStore) write(ctx context.Context, turn *Turn) error {
-	var encoded bytes.Buffer
-	if err := gob.NewEncoder(&encoded).Encode(turn); err != nil {
+// storedBlockMemory is the memory that a byte of a block takes while it is written: encoded, as a row and as it is sent.
+const storedBlockMemory = 4
+
+// reserveBlock returns a block if there is memory to write it, else none, and a function that releases the memory.
+func (s *TurnStore) reserveBlock(block []*Turn) ([]*Turn, func()) {
+	bytes := 0
+	for _, turn := range block {
+		bytes += len(turn.Input) + len(turn.Output)
+	}
+	if s.options.Reserve == nil || bytes == 0 {
+		return block, func() {}
+	}
+	release, ok := s.options.Reserve(storedBlockMemory * int64(bytes))
+	if !ok {
+		return nil, func() {}
+	}
+	return block, release
+}
+
+// write writes a turn, with a block of the turns before it.
+func (s *TurnStore) write(ctx context.Context, turn *Turn, before []*Turn) error {
+	block, release := s.reserveBlock(turn.blockOf(before))
+	defer release()
+	encoded, err := turn.encode(block)
+	if err != nil {
 		return err
 	}
 	writeBatched := func() bool {
-		return s.options.BatchWriter != nil && s.options.BatchWriter.Put(ctx, int(partNumber(turn.ID, 0)), turn.putTransaction(encoded.Bytes(), 0).Put)
+		return s.options.BatchWriter != nil && s.options.BatchWriter.Put(ctx, int(partNumber(turn.ID, 0)), turn.putTransaction(encoded, 0).Put)
 	}
-	_, err := firstAcceptedUnless(ctx, store.HedgeDelayAtLeast(s.options.Store, writePlaceTimeout), writeBatched, func(ctx context.Context, place int) (store.Version, error) {
-		return store.CommitUnlessThrottled(ctx, s.options.Store, turn.putTransaction(encoded.Bytes(), place))
+	_, err = firstAcceptedUnless(ctx, store.HedgeDelayAtLeast(s.options.Store, writePlaceTimeout), writeBatched, func(ctx context.Context, place int) (store.Version, error) {
+		return store.CommitUnlessThrottled(ctx, s.options.Store, turn.putTransaction(encoded, place))
 	}, func(store.Version) bool { return true })
 	return err
 }
--- a/internal/history/longturn_test.go
+++ b/internal/history/longturn_test.go
@@ -135,7 +135,7 @@
 		renewals := 2
 		renewing := renewingTable{Table: table, renew: func() {
 			if renewals--; renewals >= 0 {
-				require.NoError(t, writer.renew(t.Context(), long, long.Expires.Add(time.Minute)))
+				require.NoError(t, writer.renew(t.Context(), long, nil, long.Expires.Add(time.Minute)))
 			}
 		}}
 		chain, err := read(t, New(Options{Store: renewing, CacheBytes: 1 << 20}), "X")
--- a/internal/history/rows.go
+++ b/internal/history/rows.go
@@ -1,10 +1,8 @@
 package history
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/gob"
 	"errors"
 	"fmt"
 	"io"
@@ -92,18 +90,18 @@
 // errTurnChanged reports that a turn was renewed between the reads of its rows, each time.
 var errTurnChanged = errors.New("the turn's rows changed while they were read; read them again")
 
-// readPlace reads a turn from one place; nil: the place does not have it. It reads the rows of this turn only: the names of
-// other turns may lie between them.
-func (s *TurnStore) readPlace(ctx context.Context, id string, place int) (turn *Turn, err error) {
+// readPlace reads a turn, and the earlier ones in its rows, from one place; nil: the place does not have it. It reads the rows of
+// this turn only: the names of other turns may lie between them.
+func (s *TurnStore) readPlace(ctx context.Context, id string, place int) (turns []*Turn, err error) {
 	part := partOf(id, place)
 	for range maxReadTries {
 		first, err := s.readFirstRow(ctx, part, id)
 		if err != nil || first.Version == 0 {
 			return nil, err
 		}
-		turn, err = decodeRows(id, []store.Row{first})
+		turns, err = decodeRows(id, []store.Row{first})
 		if !errors.Is(err, io.ErrUnexpectedEOF) {
-			return turn, err
+			return turns, err
 		}
 		name := url.PathEscape(id)
 		rest, err := store.ReadAll(ctx, s.options.Store, Table, part, name+rowSeparator, name+rowNameEnd)
@@ -132,8 +130,9 @@
 	return !slices.ContainsFunc(rest, func(row store.Row) bool { return row.Version != first.Version })
 }
 
-// decodeRows decodes the turn with the given ID from its rows, in any order. The error wraps io.ErrUnexpectedEOF if rows are missing.
-func decodeRows(id string, rows []store.Row) (*Turn, error) {
+// decodeRows decodes the turn with the given ID, and the earlier ones in its rows, from the rows in any order. The error wraps
+// io.ErrUnexpectedEOF if rows are missing.
+func decodeRows(id string, rows []store.Row) ([]*Turn, error) {
 	slices.SortFunc(rows, func(a, b store.Row) int { return cmp.Compare(rowIndex(a.Name), rowIndex(b.Name)) })
 	var joined []byte
 	for _, row := range rows {
@@ -143,12 +142,12 @@
 		}
 		joined = append(joined, payload...)
 	}
-	turn := new(Turn)
-	if err := gob.NewDecoder(bytes.NewReader(joined)).Decode(turn); err != nil {
+	turns, err := decode(joined)
+	if err != nil {
 		return nil, err
 	}
-	if turn.ID != id {
-		return nil, fmt.Errorf("the rows of turn %q hold turn %q; they are not used", id, turn.ID)
+	if holds := turns[len(turns)-1].ID; holds != id {
+		return nil, fmt.Errorf("the rows of turn %q hold turn %q; they are not used", id, holds)
 	}
-	return turn, nil
+	return turns, nil
 }
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -6,6 +6,7 @@
 	"github.com/cloverwheel/cloverwheel/internal/directory"
 	"github.com/cloverwheel/cloverwheel/internal/forward"
 	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/memory"
 	"github.com/cloverwheel/cloverwheel/internal/quarantine"
 	"github.com/cloverwheel/cloverwheel/internal/quota"
 	"github.com/cloverwheel/cloverwheel/internal/store"
@@ -38,10 +39,10 @@
 }
 
 // newComponents returns the components of a node and registers their handlers for calls of other
-// nodes.
-func newComponents(options Options, gate *store.Gate, peers *peers, verifier *verifier, workers *backend.Registry) components {
+// nodes. reserveLong reserves memory for long histories.
+func newComponents(options Options, gate *store.Gate, peers *peers, verifier *verifier, workers *backend.Registry, reserveLong memory.Reserve) components {
 	if peers.address == "" {
-		return newStandaloneComponents(options, gate, peers, workers)
+		return newStandaloneComponents(options, gate, peers, workers, reserveLong)
 	}
 	self, location, client := options.self(), options.Settings.location(), peers.client
 	relay := &relayClient{transport: peers.transport, location: location, timeout: gate.HedgeDelay, countCall: options.Metrics.RelayedCalls.Inc}
@@ -57,7 +58,7 @@
 		Store: relayed, Self: self, Peers: client, ResponseTimes: client.timeout, Locator: dir, Granter: dir, Location: location,
 	})
 	relay.candidates = func() []budget.Holder { return withRemoteOwners(location, budgets.RecentPeers(), dir.Owners()) }
-	historyOptions := options.historyOptions(relayed)
+	historyOptions := options.historyOptions(relayed, reserveLong)
 	historyOptions.BatchWriter = newGroupCommitWriter(options, relayed, peers, dir)
 	turns := history.New(historyOptions)
 	peers.handleProgramCalls(options.Process, budgets, turns, dir)
@@ -77,10 +78,10 @@
 }
 
 // newStandaloneComponents returns the components of a node that runs without peers.
-func newStandaloneComponents(options Options, gate *store.Gate, peers *peers, workers *backend.Registry) components {
+func newStandaloneComponents(options Options, gate *store.Gate, peers *peers, workers *backend.Registry, reserveLong memory.Reserve) components {
 	return components{
 		budgets: budget.NewAccounts(budget.Options{Store: gate, Self: options.self()}),
-		history: history.New(options.historyOptions(gate)),
+		history: history.New(options.historyOptions(gate, reserveLong)),
 		store:   gate,
 		origins: newStreamOrigins(options, gate, peers, noNodes, workers.SoftwareVersions),
 		copies:  newStreamCopies(options, peers, noNodes),
@@ -126,10 +127,11 @@
 }
 
 // historyOptions returns the options of the turn store, which keeps its rows in the given store.
-func (o Options) historyOptions(table store.Store) history.Options {
+func (o Options) historyOptions(table store.Store, reserveLong memory.Reserve) history.Options {
 	return history.Options{
 		Store:      table,
 		CacheBytes: int(o.Settings.MemoryBytes / historyMemoryDivisor),
 		Region:     o.Settings.Regions.Region(o.Settings.Zone),
+		Reserve:    reserveLong,
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -168,10 +168,10 @@
 	verifier := newVerifier(options, evacuations)
 	workers = newWorkers(options, verifier)
 	peers := newPeers(options)
-	parts := newComponents(options, gate, peers, verifier, workers)
-	finder := &workerFinder{workers: workers, gate: gate, prefixWorkers: map[string]prefixWorkers{}, countLookup: options.Metrics.WorkerLookup}
 	buffers := memory.NewBudget(options.Settings.MemoryBytes / bufferMemoryDivisor)
 	long := buffers.Part(int64(longBufferRatio * float64(buffers.Limit())))
+	parts := newComponents(options, gate, peers, verifier, workers, long.Reserve)
+	finder := &workerFinder{workers: workers, gate: gate, prefixWorkers: map[string]prefixWorkers{}, countLookup: options.Metrics.WorkerLookup}
 	var s *Server
 	s = &Server{
 		options:        options,
