--- a/internal/forward/history.go
+++ b/internal/forward/history.go
@@ -2,17 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
 	"github.com/cloverwheel/cloverwheel/internal/budget"
 	"github.com/cloverwheel/cloverwheel/internal/history"
+	"github.com/cloverwheel/cloverwheel/internal/timing"
 )
 
 // HistoryPeers fetches cached conversation history from other nodes.
 type HistoryPeers interface {
 	// History returns the turns up to and including the given one, oldest first; nil if the node
-	// asked does not have all of them cached.
+	// asked does not have all of them cached. A *history.BusyError means that it reads them, and has not yet.
 	History(ctx context.Context, holder budget.Holder, turn string) ([]*history.Turn, error)
 }
 
@@ -55,14 +57,15 @@
 	if cached := x.options.History.CachedChain(x.previousTurn()); cached != nil {
 		return cached, x.turnMemory.addChain(cached)
 	}
-	if x.options.HistoryPeers == nil {
+	isWaiting := x.options.History.WaitingFor(x.previousTurn()) != nil // this node reads it already, for an earlier request
+	if x.options.HistoryPeers == nil || isWaiting {
 		return x.options.History.AdmittedChain(ctx, x.previousTurn(), x.turnMemory.add)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan historyResult, 2)
 	peerWait := make(chan time.Duration, 1)
-	go func() { results <- historyResult{turns: x.fetchFromPeers(ctx, holders, peerWait), fromPeer: true} }()
+	go func() { results <- x.fetchFromPeers(ctx, holders, peerWait) }()
 	read := func() {
 		turns, err := x.options.History.AdmittedChain(ctx, x.previousTurn(), x.turnMemory.add)
 		results <- historyResult{turns: turns, err: err}
@@ -104,25 +107,45 @@
 	return result.turns, nil
 }
 
-// fetchFromPeers asks other nodes for the history; nil if none of them has it. Once the nodes to
-// ask are known, it sends to peerWait how long they may take before the store is read as well.
-func (x *exchange) fetchFromPeers(ctx context.Context, holders <-chan []budget.Holder, peerWait chan<- time.Duration) []*history.Turn {
+// fetchFromPeers asks other nodes for the history; the result is empty if none of them has it. Once the nodes to
+// ask are known, it sends to peerWait how long they may take before the store is read as well. If one of them waits for the store to read the
+// history, it waits for that node: another reading would only make both later.
+func (x *exchange) fetchFromPeers(ctx context.Context, holders <-chan []budget.Holder, peerWait chan time.Duration) historyResult {
+	var known []budget.Holder
 	select {
 	case <-ctx.Done():
-		return nil
-	case known := <-holders:
-		others := known[:min(len(known), maxHistoryPeers)]
-		holder, ok := x.lookUpHolder(ctx, known)
-		if !ok {
-			peerWait <- x.historyWait(others)
-			return x.fetchFirst(ctx, others)
-		}
+		return historyResult{fromPeer: true}
+	case known = <-holders:
+	}
+	others := known[:min(len(known), maxHistoryPeers)]
+	answer := peerAnswer{}
+	if holder, ok := x.lookUpHolder(ctx, known); ok {
 		peerWait <- x.historyWait([]budget.Holder{holder})
-		if chain := x.fetchFromPeer(ctx, holder); chain != nil {
-			return chain
-		}
-		return x.fetchFirst(ctx, without(others, holder))
+		answer = x.askPeer(ctx, holder)
+		others = without(others, holder)
+	} else {
+		peerWait <- x.historyWait(others)
+	}
+	if answer.chain == nil && answer.busy == nil {
+		answer = x.askPeers(ctx, others)
+	}
+	if answer.busy != nil {
+		sendLatest(peerWait, maxStoreWait)
+		answer = x.awaitPeer(ctx, answer)
+	}
+	if answer.busy != nil {
+		return historyResult{err: answer.busy, fromPeer: true}
+	}
+	return historyResult{turns: answer.chain, fromPeer: true}
+}
+
+// sendLatest replaces a value that was sent and not received.
+func sendLatest(values chan time.Duration, latest time.Duration) {
+	select {
+	case <-values:
+	default:
 	}
+	values <- latest
 }
 
 // ranOnManyNodes reports whether a program's turns ran on at least maxHistoryPeers other nodes.
@@ -158,31 +181,59 @@
 	return quickest
 }
 
-// fetchFirst asks nodes at the same time and returns the first history that arrives; nil if none
-// has it.
-func (x *exchange) fetchFirst(ctx context.Context, asked []budget.Holder) []*history.Turn {
+// peerAnswer is what another node knows of a history.
+type peerAnswer struct {
+	holder budget.Holder
+	chain  []*history.Turn    // nil: it does not have the history
+	busy   *history.BusyError // it reads the history and has not yet; nil: it does not
+}
+
+// askPeers asks nodes at the same time and returns the first answer with the history, else one of a node that reads it; empty if none
+// does.
+func (x *exchange) askPeers(ctx context.Context, asked []budget.Holder) (reading peerAnswer) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	chains := make(chan []*history.Turn, len(asked))
+	answers := make(chan peerAnswer, len(asked))
 	for _, holder := range asked {
-		go func() { chains <- x.fetchFromPeer(ctx, holder) }()
+		go func() { answers <- x.askPeer(ctx, holder) }()
 	}
 	for range asked {
-		if chain := <-chains; chain != nil {
-			return chain
+		answer := <-answers
+		if answer.chain != nil {
+			return answer
+		}
+		if answer.busy != nil {
+			reading = answer
 		}
 	}
-	return nil
+	return reading
 }
 
-func (x *exchange) fetchFromPeer(ctx context.Context, holder budget.Holder) []*history.Turn {
+func (x *exchange) askPeer(ctx context.Context, holder budget.Holder) peerAnswer {
 	ctx, cancel := context.WithTimeout(ctx, x.options.ResponseTimes.For(holder.Process, minPeerTimeout, maxPeerTimeout))
 	defer cancel()
 	chain, err := x.options.HistoryPeers.History(ctx, holder, x.previousTurn())
-	if err != nil || !isHistoryOf(x.previousTurn(), chain) {
-		return nil
+	answer := peerAnswer{holder: holder}
+	if errors.As(err, &answer.busy) || err != nil || !isHistoryOf(x.previousTurn(), chain) {
+		return answer
+	}
+	answer.chain = chain
+	return answer
+}
+
+// awaitPeer asks a node that reads the history again until it has read it, unless that takes longer than this request can wait.
+func (x *exchange) awaitPeer(ctx context.Context, answer peerAnswer) peerAnswer {
+	for answer.busy != nil {
+		pause := max(answer.busy.RetryAfter, minHistoryWait)
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < pause {
+			return answer
+		}
+		if timing.Sleep(ctx, pause) != nil {
+			return answer
+		}
+		answer = x.askPeer(ctx, answer.holder)
 	}
-	return chain
+	return answer
 }
 
 // isHistoryOf reports whether turns are the complete history that ends with the given turn.
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -174,9 +175,12 @@
 }
 
 func (x *exchange) prepareError(ctx context.Context, err error) *fault.Error {
-	if errors.Is(err, errNoTurnMemory) {
+	if errors.Is(err, errNoTurnMemory) || errors.Is(err, history.ErrNoMemory) {
 		return noTurnMemoryError()
 	}
+	if busy := new(history.BusyError); errors.As(err, &busy) && x.clientCtx.Err() == nil {
+		return busyHistoryError(busy)
+	}
 	if errors.Is(err, history.ErrNoTurn) {
 		return fault.Newf(fault.NotFound, "start a new program", "turn %q does not exist or has expired", x.request.PreviousTurn)
 	}
@@ -197,6 +201,16 @@
 		"the turn's history cannot be read: %v", err).WithRetryAfter(retry)
 }
 
+// busyHistoryError returns the refusal of a turn whose history waits to be read. Its client is to come back once it has probably been read.
+func busyHistoryError(busy *history.BusyError) *fault.Error {
+	retry := max(busy.RetryAfter, retryAfter)
+	return fault.Newf(fault.Unavailable, "retry after the delay in Retry-After", "the turn's history has not been read yet: %v", busy).
+		WithRetryAfter(retry + rand.N(retry/retryJitterDivisor))
+}
+
+// retryJitterDivisor sets the part of a retry delay that is added at most, at random, so that clients do not all come back at once.
+const retryJitterDivisor = 4
+
 // shareOfDeadline returns a share of the time until the deadline of ctx, at most longest.
 func shareOfDeadline(ctx context.Context, share float64, longest time.Duration) time.Duration {
 	deadline, ok := ctx.Deadline()
--- a/internal/history/chain.go
+++ b/internal/history/chain.go
@@ -56,50 +56,68 @@
 	return indexes
 }
 
-// AdmittedChain is Chain with a limit: admit is called, also concurrently, with the size in bytes of each turn, and its error ends the
-// reading.
+// AdmittedChain is Chain with a limit: admit is called with the size of the chain in bytes, and its error is returned.
 func (s *TurnStore) AdmittedChain(ctx context.Context, id string, admit func(bytes int64) error) ([]*Turn, error) {
-	latest, err := s.fetch(ctx, id)
+	chain := s.CachedChain(id)
+	if chain == nil {
+		var err error
+		if chain, err = s.readChain(ctx, id); err != nil {
+			return nil, err
+		}
+	}
+	total := int64(0)
+	for _, turn := range chain {
+		total += int64(turn.Size())
+	}
+	if err := admit(total); err != nil {
+		return nil, err
+	}
+	return chain, nil
+}
+
+// readTurnsOf reads the turns of a conversation that are not cached.
+func (s *TurnStore) readTurnsOf(ctx context.Context, shared *reading) ([]*Turn, error) {
+	latest, err := s.fetch(ctx, shared, shared.id)
 	if err != nil {
 		return nil, err
 	}
 	chain := newPartialChain(latest)
 	chain.addCached(s.cachedTurn)
-	if err := admitAll(chain.turns, admit); err != nil {
-		return nil, err
-	}
 	for indexes := chain.toRead(); len(indexes) > 0; indexes = chain.toRead() {
-		if err := s.readTurns(ctx, chain, indexes, admit); err != nil {
+		group, limited := errgroup.WithContext(ctx)
+		group.SetLimit(maxParallelCalls)
+		for _, index := range indexes {
+			group.Go(func() error {
+				read, err := s.fetch(limited, shared, chain.ids[index])
+				if err == nil {
+					chain.add(index, read)
+				}
+				return err
+			})
+		}
+		if err := group.Wait(); err != nil {
 			return nil, err
 		}
 	}
 	return chain.turns, nil
 }
 
-// readTurns reads the rows of the turns at these indexes of a chain.
-func (s *TurnStore) readTurns(ctx context.Context, chain *partialChain, indexes []int, admit func(bytes int64) error) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxParallelCalls)
-	for _, index := range indexes {
-		group.Go(func() error {
-			read, err := s.fetch(ctx, chain.ids[index])
-			if err != nil {
-				return err
-			}
-			chain.add(index, read)
-			return admitAll(read, admit)
-		})
+// fetch returns a turn from the cache, else from the store with the earlier turns that its rows hold, oldest first.
+func (s *TurnStore) fetch(ctx context.Context, shared *reading, id string) ([]*Turn, error) {
+	if known := s.cachedTurn(id); known != nil {
+		return []*Turn{known}, nil
 	}
-	return group.Wait()
-}
-
-// admitAll calls admit with the sizes of those turns that are known.
-func admitAll(turns []*Turn, admit func(bytes int64) error) error {
-	total := int64(0)
-	for _, turn := range turns {
-		if turn != nil {
-			total += int64(turn.Size())
-		}
+	if err := s.limiter.acquire(ctx, shared.order); err != nil {
+		return nil, err
+	}
+	defer s.limiter.release()
+	turns, err := s.read(ctx, shared, id)
+	if err != nil {
+		return nil, err
+	}
+	if err := shared.admit(turns); err != nil {
+		return nil, err
 	}
-	return admit(total)
+	s.CacheChain(ctx, turns)
+	return turns, nil
 }
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cloverwheel/cloverwheel/internal/locality"
@@ -55,8 +57,11 @@
 	// Region is the region of this node. Turns that are restricted to other regions are
 	// not cached.
 	Region string
-	// Reserve reserves memory for the earlier turns that a turn's rows hold while these are written; without it they hold none. nil: no limit.
+	// Reserve reserves memory for conversations while they are read, and for the earlier turns that a turn's rows hold while these are written;
+	// without it they hold none. nil: no limit.
 	Reserve memory.Reserve
+	// Logger gets a line when the table begins to throttle reads, and one when no conversation waits any more; nil: nothing is logged.
+	Logger log.Interface
 	// BatchWriter batches the first write of a turn with those of other nodes. Nil: no
 	// batching.
 	BatchWriter BatchWriter
@@ -76,11 +81,20 @@
 	cache       map[string]*list.Element
 	lru         *list.List // most recently used first
 	cachedBytes int
+
+	limiter  *readLimiter
+	readings readings
 }
 
 // New returns a TurnStore with an empty cache.
 func New(options Options) *TurnStore {
-	return &TurnStore{options: options, cache: map[string]*list.Element{}, lru: list.New()}
+	if options.Logger == nil {
+		options.Logger = &log.Logger{Handler: discard.New()}
+	}
+	return &TurnStore{
+		options: options, cache: map[string]*list.Element{}, lru: list.New(),
+		limiter: newReadLimiter(), readings: readings{byID: map[string]*reading{}},
+	}
 }
 
 // Chain returns the turns up to and including the one with the given ID, oldest first. It
@@ -113,19 +127,6 @@
 	}
 }
 
-// fetch returns a turn from the cache, else from the store with the earlier turns that its rows hold, oldest first.
-func (s *TurnStore) fetch(ctx context.Context, id string) ([]*Turn, error) {
-	if known := s.cachedTurn(id); known != nil {
-		return []*Turn{known}, nil
-	}
-	turns, err := s.read(ctx, id)
-	if err != nil {
-		return nil, err
-	}
-	s.CacheChain(ctx, turns)
-	return turns, nil
-}
-
 // placeResult is the content of one place: a turn and earlier ones, oldest first; empty if it does not have the turn.
 type placeResult struct {
 	place int
@@ -134,10 +135,11 @@
 
 // read reads a turn, and the earlier ones that its rows hold, from its places. It returns ErrNoTurn only if all places answered
 // that they do not have it.
-func (s *TurnStore) read(ctx context.Context, id string) ([]*Turn, error) {
+func (s *TurnStore) read(ctx context.Context, shared *reading, id string) ([]*Turn, error) {
 	var missing [placeCount]bool
 	found, err := firstAccepted(ctx, store.HedgeDelayAtLeast(s.options.Store, readPlaceTimeout), func(ctx context.Context, place int) (placeResult, error) {
 		turns, err := s.readPlace(ctx, id, place)
+		s.observe(ctx, shared, err)
 		return placeResult{place: place, turns: turns}, err
 	}, func(found placeResult) bool {
 		missing[found.place] = missing[found.place] || len(found.turns) == 0
--- a/internal/history/throttle_test.go
+++ b/internal/history/throttle_test.go
@@ -44,6 +44,7 @@
 		_, err := newTestStore(table).Chain(limited, "a")
 		require.ErrorIs(t, err, store.ErrThrottled)
 		require.LessOrEqual(t, calls.Load(), int32(10))
+		time.Sleep(maxReadingTime) // until the reading, which goes on for callers that return, has ended
 	})
 }
 
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -133,5 +133,6 @@
 		CacheBytes: int(o.Settings.MemoryBytes / historyMemoryDivisor),
 		Region:     o.Settings.Regions.Region(o.Settings.Zone),
 		Reserve:    reserveLong,
+		Logger:     o.Logger,
 	}
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -120,6 +120,19 @@
 	m.copiedEvents.WithLabelValues(result).Inc()
 }
 
+// RegisterReadings registers gauges of the conversations that a node reads or is to read, and of the reads that it makes at the same time at most.
+func (m *Metrics) RegisterReadings(waiting func() (conversations, reads int)) {
+	conversations := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "cloverwheel", Name: "conversations_unread", Help: "Conversations that are read from the table or wait for that."}, func() float64 {
+		count, _ := waiting()
+		return float64(count)
+	})
+	reads := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "cloverwheel", Name: "conversation_reads_allowed", Help: "Reads of conversations that this node makes at the same time at most; throttling by the table lowers it."}, func() float64 {
+		_, allowed := waiting()
+		return float64(allowed)
+	})
+	m.Registry.MustRegister(conversations, reads)
+}
+
 // WorkerLookup counts a lookup in the store of workers that this node does not have.
 func (m *Metrics) WorkerLookup(result string) { m.workerLookups.WithLabelValues(result).Inc() }
 
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -142,7 +142,24 @@
 }
 
 // chainAnswer contains the turns, oldest first; empty if they are not cached.
-type chainAnswer struct{ Turns []*history.Turn }
+type chainAnswer struct {
+	Turns []*history.Turn
+	// Waiting means that this node reads the turns, once it has read those of Ahead other conversations, probably in RetryAfter.
+	Waiting    bool
+	Ahead      int
+	RetryAfter time.Duration
+}
+
+// newChainAnswer returns what this node knows of the turns up to the given one.
+func newChainAnswer(turns *history.TurnStore, turn string) chainAnswer {
+	if chain := turns.CachedChain(turn); chain != nil {
+		return chainAnswer{Turns: chain}
+	}
+	if busy := turns.WaitingFor(turn); busy != nil {
+		return chainAnswer{Waiting: true, Ahead: busy.Ahead, RetryAfter: busy.RetryAfter}
+	}
+	return chainAnswer{}
+}
 
 // handleProgramCalls registers the handlers for calls about programs.
 func (p *peers) handleProgramCalls(process string, accounts *budget.Accounts, turns *history.TurnStore, dir *directory.Directory) {
@@ -159,7 +176,7 @@
 		if request.Process != process {
 			return chainAnswer{}, nil
 		}
-		return chainAnswer{Turns: turns.CachedChain(request.Turn)}, nil
+		return newChainAnswer(turns, request.Turn), nil
 	})
 }
 
@@ -306,6 +323,9 @@
 		return nil, nil
 	}
 	answer, err := callPeer[chainAnswer](peer.WithRepeatable(ctx), c, holder, methodChain, chainRequest{Process: holder.Process, Turn: turn})
+	if err == nil && answer.Waiting {
+		err = &history.BusyError{Ahead: answer.Ahead, RetryAfter: answer.RetryAfter}
+	}
 	return answer.Turns, err
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -222,6 +222,7 @@
 			Logger:          options.Logger,
 		}),
 	}
+	options.Metrics.RegisterReadings(parts.history.Waiting)
 	verifier.attach(s, parts)
 	s.workerFollower = s.newWorkerFollower()
 	finder.follower, finder.services = s.workerFollower, s.targetedServices
