Memory of an ended turn is not reserved: what asks later gets none

What could be seen: memory for long histories that stays reserved for good, after a reading of the table that lost against another node's answer asked for more once its turn had ended.

--- a/internal/forward/turnmemory.go
+++ b/internal/forward/turnmemory.go
@@ -30,6 +30,7 @@
 	mutex sync.Mutex
 	grant *memory.Grant
 	bytes int64 // that the turn needs
+	ended bool  // nothing is reserved any more
 }
 
 func newTurnMemory(reserve memory.Reserve) *turnMemory {
@@ -40,6 +41,9 @@
 func (m *turnMemory) add(bytes int64) error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.ended {
+		return errNoTurnMemory
+	}
 	m.bytes += bytes
 	if m.bytes > freeTurnBytes && !m.grant.Grow(m.bytes-freeTurnBytes, turnMemoryStep) {
 		return errNoTurnMemory
@@ -47,10 +51,11 @@
 	return nil
 }
 
-// release frees all of it.
+// release frees all of it. A reading that was given up may still ask for more, and gets none.
 func (m *turnMemory) release() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.ended = true
 	m.grant.Release()
 }
 
