--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -26,11 +26,13 @@
 // ErrNoMemory is returned for a long event for which no memory can be reserved.
 var ErrNoMemory = errors.New("not enough memory for a long event; retry later or at another node")
 
-// Event is one complete event, including the blank line that ends it.
+// Event is one complete event or comment, including the blank line that ends it.
 type Event struct {
 	Raw  []byte // valid until the next call of Next
 	ID   []byte // empty if the event has none
 	Data []byte // the data lines, joined by line feeds
+	// IsComment means that there are no data lines: it is no event, and says nothing but that the sender works.
+	IsComment bool
 }
 
 // Reader reads a stream event by event.
@@ -112,6 +114,7 @@
 			hasData = true
 		}
 	}
+	event.IsComment = !hasData
 	return event
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -191,7 +191,7 @@
 		if x.clientHas(event) {
 			continue
 		}
-		if x.mayNotGenerateMore(perEvent) {
+		if !event.IsComment && x.mayNotGenerateMore(perEvent) {
 			return errTooManyEvents
 		}
 		receivedAt := time.Now()
@@ -256,19 +256,27 @@
 	return length <= freeOutputBytes || x.outputMemory.Grow(int64(length)*x.outputMemoryFactor(), outputStep)
 }
 
-// relayEvent relays an event to the client.
-func (x *exchange) relayEvent(answer *Answer, event eventstream.Event) error {
-	if err := x.sendHead(answer); err != nil {
-		return err
-	}
+// countEvent counts an event that the client gets next, and keeps it if the turn is stored. It reports whether there is memory for it.
+func (x *exchange) countEvent(event eventstream.Event) bool {
 	if x.route.StoreTurns && !x.keepOutput(event.Data) {
-		return errNoOutputMemory
+		return false
 	}
 	x.copyEvent(event)
 	x.events++
 	if len(event.ID) > 0 {
 		x.lastEventID = string(event.ID)
 	}
+	return true
+}
+
+// relayEvent relays an event or a comment to the client.
+func (x *exchange) relayEvent(answer *Answer, event eventstream.Event) error {
+	if err := x.sendHead(answer); err != nil {
+		return err
+	}
+	if !event.IsComment && !x.countEvent(event) {
+		return errNoOutputMemory
+	}
 	if err := x.out.Write(event.Raw); err != nil {
 		return errClientGone
 	}
