--- a/internal/history/block.go
+++ b/internal/history/block.go
@@ -49,7 +49,7 @@
 	if len(before) != len(t.Ancestors) {
 		return nil
 	}
-	fitting, size := 1, t.Size()
+	fitting, size := 1, len(t.Input)+len(t.Output)+ancestorMemory*len(t.Ancestors)+rowOverhead
 	for fitting < blockTurns(len(before)+1) && size <= maxRowBytes {
 		earlier := before[len(before)-fitting]
 		if size += len(earlier.Input) + len(earlier.Output) + blockTurnOverhead; size <= maxRowBytes {
@@ -60,8 +60,12 @@
 	return before[len(before)-whole+1:]
 }
 
-// blockTurnOverhead is the size of a turn in a block beside its input and output, in bytes.
-const blockTurnOverhead = 64
+const (
+	// blockTurnOverhead is the size of a turn in a block beside its input and output, in bytes.
+	blockTurnOverhead = 64
+	// rowOverhead is the size of a row beside its turns and their IDs, in bytes.
+	rowOverhead = 128
+)
 
 // encode encodes a turn for its rows, with a block of the turns just before it, oldest first.
 func (t *Turn) encode(block []*Turn) ([]byte, error) {
--- a/internal/history/block_test.go
+++ b/internal/history/block_test.go
@@ -201,3 +201,25 @@
 	_, err = decode(whole.Bytes())
 	require.ErrorIs(t, err, errBadBlock)
 }
+
+// Guards against cached turns whose buffers are longer than what they hold, and are counted by that: short inputs in chunks came in buffers of
+// 4 KB, and a node outgrew its memory (LOST, FAULT).
+func TestCachedTurnsTakeWhatIsCounted(t *testing.T) {
+	turns := New(Options{Store: storetest.New(), CacheBytes: 1 << 20})
+	for number := range 3000 {
+		input := append(make([]byte, 0, 4096), "short"...)
+		turn := &Turn{ID: fmt.Sprint("t", number), Input: input, Output: append(make([]byte, 0, 2048), "out\n"...)}
+		require.NoError(t, turns.Write(t.Context(), turn, nil, time.Minute))
+		require.Equal(t, 4096, cap(turn.Input), "the caller's turn stays as it is")
+	}
+	held := 0
+	for element := turns.lru.Front(); element != nil; element = element.Next() {
+		cached := element.Value.(*Turn)
+		require.Equal(t, len(cached.Input), cap(cached.Input))
+		require.Equal(t, len(cached.Output), cap(cached.Output))
+		held += cached.Size()
+	}
+	require.Equal(t, held, turns.cachedBytes)
+	require.LessOrEqual(t, held, 1<<20)
+	require.Equal(t, 4096+2048+turnMemory, (&Turn{Input: make([]byte, 5, 4096), Output: make([]byte, 4, 2048)}).Size(), "what is held is counted")
+}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -47,8 +47,33 @@
 	Expires   time.Time
 }
 
-// Size returns the memory that the turn takes, in bytes.
-func (t *Turn) Size() int { return len(t.Input) + len(t.Output) + 64*(len(t.Ancestors)+2) }
+const (
+	// turnMemory is the memory of a cached turn beside its input, output and ancestors, in bytes, and ancestorMemory that of an ancestor's ID.
+	turnMemory     = 384
+	ancestorMemory = 64
+)
+
+// Size returns the memory that the turn takes, in bytes: of its buffers, whatever part of them is used.
+func (t *Turn) Size() int {
+	return cap(t.Input) + cap(t.Output) + turnMemory + ancestorMemory*len(t.Ancestors)
+}
+
+// compact returns the turn with buffers that are no longer than what they hold. Inputs and outputs come in buffers that grew as they arrived.
+func (t *Turn) compact() *Turn {
+	compacted := *t
+	compacted.Input, compacted.Output = withoutRoom(t.Input), withoutRoom(t.Output)
+	return &compacted
+}
+
+// withoutRoom returns bytes in a buffer of their length.
+func withoutRoom(data []byte) []byte {
+	if cap(data) == len(data) {
+		return data
+	}
+	exact := make([]byte, len(data))
+	copy(exact, data)
+	return exact
+}
 
 // Options configures a TurnStore.
 type Options struct {
@@ -170,7 +195,7 @@
 	if err := group.Wait(); err != nil {
 		return err
 	}
-	s.cacheTurn(ctx, turn)
+	s.cacheTurn(ctx, turn.compact())
 	return nil
 }
 
