--- a/internal/history/chain.go
+++ b/internal/history/chain.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// partialChain is a chain of which some turns are known. It is safe for concurrent use.
+// partialChain is a chain of which some turns are known. Only add may be called concurrently.
 type partialChain struct {
 	ids []string // of all turns, oldest first
 
--- a/internal/history/reading.go
+++ b/internal/history/reading.go
@@ -21,6 +21,8 @@
 	// returnTime is how long a conversation keeps its place after the last request for it had to be refused. Clients come back within
 	// that time.
 	returnTime = 4 * time.Second
+	// throttlingTime is how long the table counts as throttling after it has throttled a read.
+	throttlingTime = 2 * time.Second
 	// freeReadingBytes is the size up to which a conversation that is read needs no reservation, and readingStep the step in which memory
 	// for longer ones is reserved, in bytes.
 	freeReadingBytes = 16 << 10
@@ -71,8 +73,10 @@
 	byID    map[string]*reading
 	arrived uint64
 	pace    pace
-	// throttledSince is when the table first throttled a read, and throttled how many it has throttled since; zero once no conversation waits.
+	// throttledSince is when the table first throttled a read, throttledAt when it last did, and throttled how many it has throttled; zero
+	// once no conversation waits.
 	throttledSince time.Time
+	throttledAt    time.Time
 	throttled      int
 }
 
@@ -210,7 +214,7 @@
 	r := &s.readings
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.throttledSince.IsZero() {
+	if time.Since(r.throttledAt) > throttlingTime {
 		return nil, shared.failure
 	}
 	ahead := 0
@@ -258,8 +262,9 @@
 		return
 	}
 	r.throttled++
+	r.throttledAt = time.Now()
 	if r.throttledSince.IsZero() {
-		r.throttledSince = time.Now()
+		r.throttledSince = r.throttledAt
 		s.options.Logger.WithField("conversations", len(r.byID)).
 			Warn("table throttles reads of conversations; reading those first that were asked for first, with fewer reads at a time")
 	}
@@ -278,7 +283,7 @@
 		return throttling{}
 	}
 	ended := throttling{took: time.Since(r.throttledSince), reads: r.throttled}
-	r.throttledSince, r.throttled = time.Time{}, 0
+	r.throttledSince, r.throttledAt, r.throttled, r.pace = time.Time{}, time.Time{}, 0, pace{}
 	return ended
 }
 
