A reading that began earlier does not prove that a turn is missing: whoever joined it has the table read again

Found while reading the diff: a request for a turn that was written after the table had answered another request's reading would have shared its "no such turn". TestReadingThatBeganEarlierDoesNotProveTurnMissing fails without the change.

--- a/internal/history/reading.go
+++ b/internal/history/reading.go
@@ -83,10 +83,21 @@
 // readChain returns the turns up to and including the one with the given ID. Requests for the same conversation share one reading. If the
 // table throttles reads, it fails with a BusyError: at once if the conversation would not be read before the deadline of ctx.
 func (s *TurnStore) readChain(ctx context.Context, id string) ([]*Turn, error) {
-	shared, err := s.join(ctx, id)
-	if err != nil {
-		return nil, err
+	for {
+		shared, isNew, err := s.join(ctx, id)
+		if err != nil {
+			return nil, err
+		}
+		chain, err := s.await(ctx, shared)
+		if isNew || !errors.Is(err, ErrNoTurn) {
+			return chain, err
+		}
+		// The turn may have been written after the other request had the table read.
 	}
+}
+
+// await waits for a reading, which the caller has joined, and leaves it.
+func (s *TurnStore) await(ctx context.Context, shared *reading) ([]*Turn, error) {
 	if late := s.lateFor(ctx, shared); late != nil {
 		s.leave(shared, true)
 		return nil, late
@@ -111,25 +122,25 @@
 }
 
 // join returns the reading of a conversation, and starts it unless it is under way.
-func (s *TurnStore) join(ctx context.Context, id string) (*reading, error) {
+func (s *TurnStore) join(ctx context.Context, id string) (shared *reading, isNew bool, err error) {
 	regions := locality.ContentRegions(ctx)
 	r := &s.readings
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if shared := r.byID[id]; shared != nil && slices.Equal(shared.regions, regions) {
 		shared.callers++
-		return shared, nil
+		return shared, false, nil
 	}
 	if len(r.byID) >= maxReadings {
-		return nil, &BusyError{Ahead: len(r.byID), RetryAfter: r.pace.estimate(len(r.byID))}
+		return nil, false, &BusyError{Ahead: len(r.byID), RetryAfter: r.pace.estimate(len(r.byID))}
 	}
 	r.arrived++
-	shared := &reading{id: id, regions: regions, order: r.arrived, callers: 1, done: make(chan struct{}), memory: memory.NewGrant(s.options.Reserve)}
+	shared = &reading{id: id, regions: regions, order: r.arrived, callers: 1, done: make(chan struct{}), memory: memory.NewGrant(s.options.Reserve)}
 	own, cancel := context.WithTimeout(locality.WithContentRegions(context.Background(), regions), maxReadingTime)
 	shared.stop = cancel
 	r.byID[id] = shared
 	go s.run(own, shared)
-	return shared, nil
+	return shared, true, nil
 }
 
 // run reads a conversation.
--- a/internal/history/reading_test.go
+++ b/internal/history/reading_test.go
@@ -249,3 +249,33 @@
 		return reserved == 0
 	}, time.Second, time.Millisecond)
 }
+
+// heldTable lets reads wait until they are released, and then answers what the table held when they came.
+type heldTable struct {
+	*storetest.Table
+	release chan struct{}
+}
+
+// Range implements store.Store.
+func (h heldTable) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
+	page, err := h.Table.Range(ctx, table, part, from, to, limit)
+	<-h.release
+	return page, err
+}
+
+// Guards against "no such turn" for a turn that was written while another request, which came before that, had the table read (LOST).
+func TestReadingThatBeganEarlierDoesNotProveTurnMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := heldTable{storetest.New(), make(chan struct{})}
+		turns := New(Options{Store: table, CacheBytes: 1 << 20})
+		early, late := make(chan error, 1), make(chan error, 1)
+		go func() { _, err := turns.Chain(t.Context(), "a-0"); early <- err }()
+		time.Sleep(readPlaceTimeout + 50*time.Millisecond) // both places are read
+		writeConversation(t, newTestStore(table.Table), "a", []byte("in"))
+		go func() { _, err := turns.Chain(t.Context(), "a-0"); late <- err }()
+		synctest.Wait()
+		close(table.release)
+		require.ErrorIs(t, <-early, ErrNoTurn)
+		require.NoError(t, <-late)
+	})
+}
