Work that only draining workers can do goes to one while it is known to serve (LOST, takeup)

Cause: eligibility closed a draining worker to all work from the moment a node heard of it; nothing told work that any worker can do from work that only this one can.

Fix: a stream bound to a version, a request that has used its attempts, and safe requests or resumable streams of a service without another worker go to a draining one as a last resort, for drainMs less 0.3 s. The time counts from the last answer of the table that proves the worker ready (store.Timeline: versions rise over all tables, answers name the newest and the table's clock), never from when the node heard; without a proof nothing is sent. An end of a draining worker before that time counts against the work.

--- a/internal/backend/accessors.go
+++ b/internal/backend/accessors.go
@@ -20,12 +20,9 @@
 // SoftwareVersion returns the version of the worker's software.
 func (w *Worker) SoftwareVersion() string { return w.version }
 
-// Serves reports whether a service has a worker of an allowed software version that is not draining, among those that Workers
-// returns.
-func (r *Registry) Serves(service string, allowed eligibility.Versions) bool {
-	return slices.ContainsFunc(r.Workers(service), func(worker *Worker) bool {
-		return allowed.Allow(worker.version) && !worker.Record().Draining
-	})
+// Serves reports whether a service has a worker to which a request may be sent now, among those that Workers returns.
+func (r *Registry) Serves(service string, request eligibility.Request) bool {
+	return slices.ContainsFunc(r.Workers(service), func(worker *Worker) bool { return !r.Check(worker, request).Refused() })
 }
 
 // SoftwareVersions returns the software versions of the workers of a service that Workers returns, each once. The
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -33,6 +33,8 @@
 	Retryable bool
 	// FirstTurn means that the request is a program's first turn.
 	FirstTurn bool
+	// AcceptsDraining means that no other worker can serve the request than the draining ones.
+	AcceptsDraining bool
 	// WarmOnly means that only warm workers may be chosen.
 	WarmOnly bool
 	Exclude  []string // keys of workers that may not be chosen
@@ -114,7 +116,7 @@
 
 // request returns the properties of the request that decide which workers may get it.
 func (q Query) request() eligibility.Request {
-	return eligibility.Request{Regions: q.Regions, Versions: q.Versions}
+	return eligibility.Request{Regions: q.Regions, Versions: q.Versions, AcceptsDraining: q.AcceptsDraining}
 }
 
 // Check decides whether a request may be sent to a worker now.
@@ -132,6 +134,7 @@
 		Region:    r.options.Zones.Region(worker.zone),
 		Version:   record.SoftwareVersion,
 		Draining:  record.Draining,
+		Serving:   worker.ServesWhileDraining(),
 		Evacuated: evacuated,
 		Cold:      r.cold(worker),
 	}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -23,7 +23,9 @@
 	Evacuated func(zone string) bool
 	// Cold returns whether cold workers of a service get less work than warm ones, and how long
 	// a cold start lasts by default. Nil: cold workers get as much work as others.
-	Cold        func(service string) (less bool, start time.Duration)
+	Cold func(service string) (less bool, start time.Duration)
+	// Drain tells how long draining workers serve; the zero value: it is not known, and they get no requests.
+	Drain       DrainOptions
 	Node        string // name of this node; it decides which workers the node prefers
 	DialTimeout time.Duration
 	Guard       deadconn.Guard // detects unresponsive connections to workers
--- a/internal/backend/worker.go
+++ b/internal/backend/worker.go
@@ -37,6 +37,7 @@
 	record              Record
 	warmth              warmth
 	pool                *httpconn.Pool // nil: no request was sent to it yet
+	servesUntil         time.Time      // if it is draining: until when requests that no other worker can serve may be sent to it; zero: they may not
 	removed             bool           // no longer on the worker list
 	replaced            bool           // another process has started under the same ID
 	running             int
@@ -92,6 +93,7 @@
 		w.warmth.updateFromEntry(record, now)
 	}
 	before := w.record
+	w.updateDraining(record)
 	w.record = record
 	before.Revision = record.Revision
 	return before != record
@@ -123,7 +125,7 @@
 	return w.replaced
 }
 
-// Leaving reports whether the worker is draining or off the worker list and must get no new work.
+// Leaving reports whether the worker is draining or off the worker list, so that it gets no work that other workers can do.
 func (w *Worker) Leaving() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -19,7 +19,7 @@
 	// NeedsWarmupPermit: the worker is cold; the request may be sent only with a permit from the worker's
 	// warm-up limit.
 	NeedsWarmupPermit
-	// Draining: the worker is draining and must get no new work.
+	// Draining: the worker is draining, and must not get this request or no request at all.
 	Draining
 	// Evacuated: the worker's zone is being evacuated and must get no new work.
 	Evacuated
@@ -55,6 +55,8 @@
 type Request struct {
 	Regions  locality.Regions // where it may be served; nil allows all regions
 	Versions Versions         // which software versions may serve it
+	// AcceptsDraining means that no other worker can serve the request, so that it may be sent to a draining one while that one serves.
+	AcceptsDraining bool
 }
 
 // Versions restricts a request to workers of some software versions. The zero value allows all. Versions have no order, and a
@@ -75,6 +77,7 @@
 	Region    string
 	Version   string // software version
 	Draining  bool   // the worker is draining
+	Serving   bool   // the worker is draining, but is known to serve what reaches it now
 	Evacuated bool   // the worker's zone is being evacuated
 	Cold      bool   // the worker is not known to be warm
 }
@@ -89,7 +92,7 @@
 		return OutsideRegions
 	case worker.Evacuated:
 		return Evacuated
-	case worker.Draining:
+	case worker.Draining && !(request.AcceptsDraining && worker.Serving):
 		return Draining
 	case worker.Cold:
 		return NeedsWarmupPermit
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -15,6 +15,7 @@
 func (x *exchange) chooseWorker(ctx context.Context) (*backend.Worker, *fault.Error) {
 	maxWait := min(x.route.Objective/selectWaitDivisor, maxSelectWait)
 	for {
+		x.acceptsDraining = false
 		x.dropRestarted()
 		x.restrictVersions()
 		if refusal := x.checkQuarantine(); refusal != nil {
@@ -42,6 +43,10 @@
 			return worker, nil
 		}
 		worker, err := x.options.Workers.Choose(x.placementQuery(only))
+		if draining := x.chooseDraining(only, worker); draining != nil {
+			x.takeSlot(draining)
+			return draining, nil
+		}
 		if err == nil {
 			x.takeSlot(worker)
 			return worker, nil
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -48,6 +48,7 @@
 	events           int                       // number of events relayed
 	versions         eligibility.Versions      // software versions that may serve the request
 	version          *string                   // the only one of them, which began the stream; nil: the stream has not begun
+	acceptsDraining  bool                      // no other worker can serve the request than the draining one that was chosen
 	relayedBy        string                    // key of the worker whose event was relayed last; empty: none was
 	budgetDrawn      bool                      // this node had to draw tokens for the turn
 	budgetHandedOver bool                      // another node handed tokens over
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -25,6 +25,7 @@
 	Failures        prometheus.Counter       // exchanges with workers that failed
 	UnsavedTurns    prometheus.Counter       // turns that ran and could not be stored
 	BlockedSends    *prometheus.CounterVec   // sends not made because the worker may not get the request, by verdict
+	DrainingChosen  prometheus.Counter       // choices of draining workers for requests that no other worker could serve
 	// AttemptsDropped counts workers that stopped counting as having run a request, by
 	// observation. ExcessAttempts counts requests that may have run at more workers than their
 	// route allows.
@@ -62,6 +63,7 @@
 		Declines:        counter("worker_declines_total", "Calls that workers declined unrun."),
 		Failures:        counter("worker_failures_total", "Exchanges with workers that broke."),
 		UnsavedTurns:    counter("turns_unkept_total", "Turns that ran and could not be kept."),
+		DrainingChosen:  counter("draining_workers_chosen_total", "Choices of draining workers for requests that no other worker could serve."),
 	}
 	m.BlockedSends = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_sends_turned_away_total", Help: "Sends that were not made because the worker chosen may not get the request, by why."}, []string{"verdict"})
 	m.AttemptsDropped = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cloverwheel", Name: "worker_attempts_dropped_total", Help: "Workers that no longer count against a request's attempts, by what was observed."}, []string{"observed"})
--- a/internal/forward/presend.go
+++ b/internal/forward/presend.go
@@ -153,7 +153,7 @@
 
 // restrictions returns the properties of the request that decide which workers may get it.
 func (x *exchange) restrictions() eligibility.Request {
-	return eligibility.Request{Regions: x.allowedRegions(), Versions: x.versions}
+	return eligibility.Request{Regions: x.allowedRegions(), Versions: x.versions, AcceptsDraining: x.acceptsDraining}
 }
 
 // allowedRegions returns the regions that both the route and the tenant allow.
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -26,7 +26,7 @@
 	keys        *quarantine.Keys               // nil: not computed yet
 	evidence    quarantine.Evidence            // as of the last check before a send
 	seen        map[string]quarantine.Evidence // evidence at the send to each worker, by its key; nil: nothing was known
-	plannedEnds []string                       // keys of workers that were leaving when they closed the request's connection
+	plannedEnds []string                       // keys of workers whose planned end was due when they closed the request's connection
 	lastBreak   time.Time                      // when a worker last closed it
 	ended       int                            // workers that ended while they ran the request
 
@@ -106,7 +106,7 @@
 		return
 	}
 	x.suspicion.lastBreak = time.Now()
-	if worker.Leaving() {
+	if worker.Leaving() && !worker.ServesWhileDraining() {
 		x.suspicion.plannedEnds = append(x.suspicion.plannedEnds, worker.Key())
 	}
 	limited, cancel := context.WithTimeout(ctx, dialCheckTimeout)
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -121,16 +121,16 @@
 // startAnew is the remedy for a stream that cannot be continued.
 const startAnew = "retry after the delay in Retry-After, or send the request without the last event's ID to start anew"
 
-// checkVersionServed refuses a request that only one software version may serve if no worker of that version is left.
+// checkVersionServed refuses a request that only one software version may serve if no worker of that version may get it.
 // Waiting would not help.
 func (x *exchange) checkVersionServed() *fault.Error {
-	if x.version == nil || x.options.Workers.Serves(x.service, x.versions) {
+	if x.version == nil || x.options.Workers.Serves(x.service, x.lastResort()) {
 		return nil
 	}
 	if x.options.Finder != nil {
 		x.options.Finder.RecordNoCapacity() // this node may list a part of the workers
 	}
-	refusal := fault.Newf(fault.Unavailable, startAnew, "no worker of service %q runs software version %q, which began the stream", x.service, *x.version).
+	refusal := fault.Newf(fault.Unavailable, startAnew, "no worker of service %q that may get requests runs software version %q, which began the stream", x.service, *x.version).
 		WithRetryAfter(jitteredRetryAfter())
 	return x.withRan(refusal)
 }
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -130,6 +130,9 @@
 		return
 	}
 	record := update.Record
+	if worker, ok := s.workers.WorkerByKey(record.Key()); ok && record.Draining {
+		entry = entry.WithField("serves_more_ms", worker.DrainTimeLeft().Milliseconds())
+	}
 	entry.WithFields(log.Fields{
 		"service":  record.Service,
 		"address":  record.Address,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -46,6 +46,8 @@
 	MemoryBytes    int64         // memory limit of the process; 0: a default of 256 MiB
 	Descriptors    int           // maximum number of socket descriptors; 0: unlimited
 	ShutdownGrace  time.Duration // time for a planned shutdown
+	// DrainPeriod is how long a worker serves after the worker list has accepted that it is draining; 0: unspecified.
+	DrainPeriod time.Duration
 	// MaxStaleness is how soon after a store failure the node's state must be current again; 0:
 	// unspecified.
 	MaxStaleness time.Duration
@@ -162,11 +164,13 @@
 // New returns a node; Run starts it.
 func New(options Options) *Server {
 	options = options.withDefaults()
-	gate := store.NewGate(options.Store, options.Logger)
+	timeline := store.NewTimeline(options.Store)
+	options.Store = timeline
+	gate := store.NewGate(timeline, options.Logger)
 	var workers *backend.Registry
 	evacuations := newEvacuationTracker(options, func(zone string, revision store.Version) int { return workers.ZoneReopened(zone, uint64(revision)) })
 	verifier := newVerifier(options, evacuations)
-	workers = newWorkers(options, verifier)
+	workers = newWorkers(options, verifier, timeline)
 	peers := newPeers(options)
 	buffers := memory.NewBudget(options.Settings.MemoryBytes / bufferMemoryDivisor)
 	long := buffers.Part(int64(longBufferRatio * float64(buffers.Limit())))
@@ -241,8 +245,12 @@
 	return o
 }
 
-func newWorkers(options Options, verifier *verifier) *backend.Registry {
+func newWorkers(options Options, verifier *verifier, timeline *store.Timeline) *backend.Registry {
 	return backend.NewRegistry(backend.Options{
+		Drain: backend.DrainOptions{
+			Period:          options.Settings.DrainPeriod,
+			NotListedBefore: func(revision uint64) (time.Time, bool) { return timeline.NotCommittedBefore(store.Version(revision)) },
+		},
 		Zone:        options.Settings.Zone,
 		Zones:       options.Settings.Regions,
 		Evacuated:   verifier.evacuations.Evacuated,
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,6 +72,8 @@
 	Rows    []Row
 	Version Version // latest version of the table at the time of the read
 	More    bool    // the read reached its limit; further rows match
+	// Clock is the reading of the table's steady clock at the time of the read; 0: the table does not name it.
+	Clock time.Duration
 }
 
 // Store is the transactional table. All methods are safe for concurrent use.
--- a/internal/store/storetest/table.go
+++ b/internal/store/storetest/table.go
@@ -42,6 +42,7 @@
 	rows    map[store.Key]store.Row
 	names   map[store.Key]int // number of parts with a row of this name, by Table and Name
 	version store.Version
+	started time.Time // when the table's clock was zero
 	history []store.Row
 	dropped store.Version // changes up to here are no longer kept
 	changed chan struct{}
@@ -55,7 +56,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: map[store.Key]store.Row{}, names: map[store.Key]int{}, changed: make(chan struct{})}
+	return &Table{rows: map[store.Key]store.Row{}, names: map[store.Key]int{}, changed: make(chan struct{}), started: time.Now()}
 }
 
 // fault returns the fault of a call to a part.
@@ -207,7 +208,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.reads++
-	page, bytes := store.Page{Version: t.version}, 0
+	page, bytes := t.emptyPage(), 0
 	if maxRows := cmp.Or(t.PageRows, maxPageRows); limit == 0 || limit > maxRows {
 		limit = maxRows
 	}
@@ -243,33 +244,42 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		t.mutex.Lock()
-		if after < t.dropped {
-			t.mutex.Unlock()
-			return store.Page{}, store.ErrHistoryCompacted
-		}
-		page := store.Page{Version: t.version}
-		for _, row := range t.history {
-			if row.Table == table && row.Version > after {
-				page.Rows = append(page.Rows, row)
-			}
-		}
-		changed := t.changed
-		t.mutex.Unlock()
-		if len(page.Rows) > 0 {
-			return page, nil
+	for expired := false; ; {
+		page, changed, err := t.changesAfter(table, after)
+		if err != nil || len(page.Rows) > 0 || expired {
+			return page, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return page, nil
+			expired = true
 		case <-ctx.Done():
 			return store.Page{}, ctx.Err()
 		}
 	}
 }
 
+// changesAfter returns the changes of a table after a version, and a channel that is closed with the next change of any table.
+func (t *Table) changesAfter(table string, after store.Version) (page store.Page, changed chan struct{}, err error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if after < t.dropped {
+		return store.Page{}, nil, store.ErrHistoryCompacted
+	}
+	page = t.emptyPage()
+	for _, row := range t.history {
+		if row.Table == table && row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, t.changed, nil
+}
+
+// emptyPage returns a page without rows as of now. The caller holds the mutex.
+func (t *Table) emptyPage() store.Page {
+	return store.Page{Version: t.version, Clock: time.Since(t.started)}
+}
+
 // DropHistory drops the history of changes, so that watches after an earlier version fail
 // with store.ErrHistoryCompacted.
 func (t *Table) DropHistory() {
