--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -267,7 +267,11 @@
 	x.recordSeen(worker)
 	x.logResend(worker, call.TimeLeft)
 	x.logContinued(worker)
-	return x.options.Transport.Send(ctx, worker, call)
+	answer, err := x.options.Transport.Send(ctx, worker, call)
+	if err == nil && answer.EndsWithConnection && !answer.Declined {
+		answer.Body = &unframedBody{Reader: answer.Body, ctx: ctx, worker: worker}
+	}
+	return answer, err
 }
 
 func (x *exchange) exclude(worker string) { x.excluded = append(x.excluded, worker) }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -66,10 +66,12 @@
 
 // Answer is a worker's answer. Close must be called.
 type Answer struct {
-	Status   int
-	Header   http.Header // passed on to the client
-	Length   int64       // of the body in bytes; -1: unknown
-	Declined bool        // the worker reported that it did not run the request
+	Status int
+	Header http.Header // passed on to the client
+	Length int64       // of the body in bytes; -1: unknown
+	// EndsWithConnection means that nothing but the end of the connection ends the body.
+	EndsWithConnection bool
+	Declined           bool // the worker reported that it did not run the request
 	// OtherProcess means that the answer is that of another process than the one addressed, which has its address now.
 	OtherProcess bool
 	Stream       bool // the body is a stream of events
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -22,6 +22,11 @@
 // It may only be called before Close.
 func (r *Response) IsFirst() bool { return !r.conn.answeredBefore }
 
+// EndsWithConnection reports whether nothing but the end of the connection ends the body: it has neither a length nor chunks.
+func (r *Response) EndsWithConnection() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Response.Body != http.NoBody
+}
+
 // DisableReuse prevents the connection from being reused.
 func (r *Response) DisableReuse() { r.notReusable.Store(true) }
 
