--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -28,7 +28,7 @@
 	dialCheckTimeout = 150 * time.Millisecond
 	// A request is taken from a worker that accepts connections but does not answer after this
 	// many checks: early if the worker already answers requests that were sent later, late if the
-	// request may be waiting in its queue.
+	// request may be waiting in its queue or, once its answer has begun, may have been preempted.
 	checksIfOvertaken = 3
 	checksInQueue     = 9
 )
@@ -157,7 +157,7 @@
 	if w.waitForDeadline || w.answerStarted.Load() && !w.repeatable {
 		return false
 	}
-	if w.worker.Overtaken(w.sentAt, w.priority) {
+	if !w.answerStarted.Load() && w.worker.Overtaken(w.sentAt, w.priority) {
 		return checks >= checksIfOvertaken
 	}
 	return checks >= checksInQueue
