--- a/internal/forward/turnmemory.go
+++ b/internal/forward/turnmemory.go
@@ -28,24 +28,19 @@
 // turnMemory is the memory that is reserved for a turn's history. It is safe for concurrent use.
 type turnMemory struct {
 	mutex sync.Mutex
-	grant *memory.Grant
-	bytes int64 // that the turn needs
-	ended bool  // nothing is reserved any more
+	bytes *memory.Excess
+	ended bool // nothing is reserved any more
 }
 
 func newTurnMemory(reserve memory.Reserve) *turnMemory {
-	return &turnMemory{grant: memory.NewGrant(reserve)}
+	return &turnMemory{bytes: memory.NewExcess(reserve, freeTurnBytes, turnMemoryStep)}
 }
 
 // add reserves memory for further bytes.
 func (m *turnMemory) add(bytes int64) error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.ended {
-		return errNoTurnMemory
-	}
-	m.bytes += bytes
-	if m.bytes > freeTurnBytes && !m.grant.Grow(m.bytes-freeTurnBytes, turnMemoryStep) {
+	if m.ended || !m.bytes.Add(bytes) {
 		return errNoTurnMemory
 	}
 	return nil
@@ -56,7 +51,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.ended = true
-	m.grant.Release()
+	m.bytes.Release()
 }
 
 // addChain reserves memory for a chain of which nothing was reserved before.
--- a/internal/history/reading.go
+++ b/internal/history/reading.go
@@ -21,8 +21,6 @@
 	// returnTime is how long a conversation keeps its place after the last request for it had to be refused. Clients come back within
 	// that time.
 	returnTime = 4 * time.Second
-	// throttlingTime is how long the table counts as throttling after it has throttled a read.
-	throttlingTime = 2 * time.Second
 	// freeReadingBytes is the size up to which a conversation that is read needs no reservation, and readingStep the step in which memory
 	// for longer ones is reserved, in bytes.
 	freeReadingBytes = 16 << 10
@@ -63,8 +61,7 @@
 	failure error     // of the last read that failed; nil: none has
 
 	mutex  sync.Mutex // guards memory
-	memory *memory.Grant
-	bytes  int64
+	memory *memory.Excess
 }
 
 // readings are the conversations that a node reads. It is safe for concurrent use.
@@ -73,11 +70,8 @@
 	byID    map[string]*reading
 	arrived uint64
 	pace    pace
-	// throttledSince is when the table first throttled a read, throttledAt when it last did, and throttled how many it has throttled; zero
-	// once no conversation waits.
-	throttledSince time.Time
-	throttledAt    time.Time
-	throttled      int
+	// throttling is the time in which the table throttles reads, until no conversation waits any more.
+	throttling throttling
 }
 
 // readChain returns the turns up to and including the one with the given ID. Requests for the same conversation share one reading. If the
@@ -135,7 +129,7 @@
 		return nil, false, &BusyError{Ahead: len(r.byID), RetryAfter: r.pace.estimate(len(r.byID))}
 	}
 	r.arrived++
-	shared = &reading{id: id, regions: regions, order: r.arrived, callers: 1, done: make(chan struct{}), memory: memory.NewGrant(s.options.Reserve)}
+	shared = &reading{id: id, regions: regions, order: r.arrived, callers: 1, done: make(chan struct{}), memory: memory.NewExcess(s.options.Reserve, freeReadingBytes, readingStep)}
 	own, cancel := context.WithTimeout(locality.WithContentRegions(context.Background(), regions), maxReadingTime)
 	shared.stop = cancel
 	r.byID[id] = shared
@@ -157,9 +151,12 @@
 	r.remove(shared)
 	waiting := len(r.byID)
 	r.pace.completed(time.Now(), waiting > 0)
-	ended := r.endThrottling(waiting)
+	ended := throttling{}
+	if waiting == 0 && r.throttling.reads > 0 {
+		ended, r.throttling, r.pace = r.throttling, throttling{}, pace{}
+	}
 	r.mutex.Unlock()
-	s.logEndOfThrottling(ended)
+	ended.logEnd(s.options.Logger)
 	shared.mutex.Lock()
 	defer shared.mutex.Unlock()
 	shared.memory.Release()
@@ -225,7 +222,7 @@
 	r := &s.readings
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if time.Since(r.throttledAt) > throttlingTime {
+	if !r.throttling.lasts(time.Now()) {
 		return nil, shared.failure
 	}
 	ahead := 0
@@ -269,42 +266,12 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	shared.failure = err
-	if !errors.Is(err, store.ErrThrottled) {
-		return
-	}
-	r.throttled++
-	r.throttledAt = time.Now()
-	if r.throttledSince.IsZero() {
-		r.throttledSince = r.throttledAt
+	if errors.Is(err, store.ErrThrottled) && r.throttling.add(time.Now()) {
 		s.options.Logger.WithField("conversations", len(r.byID)).
 			Warn("table throttles reads of conversations; reading those first that were asked for first, with fewer reads at a time")
 	}
 }
 
-// throttling is a time in which the table throttled reads.
-type throttling struct {
-	took  time.Duration
-	reads int // that were throttled
-}
-
-// endThrottling returns the time in which reads were throttled, if it ends because no conversation waits any more; else zero. The caller holds
-// the mutex.
-func (r *readings) endThrottling(waiting int) throttling {
-	if waiting > 0 || r.throttledSince.IsZero() {
-		return throttling{}
-	}
-	ended := throttling{took: time.Since(r.throttledSince), reads: r.throttled}
-	r.throttledSince, r.throttledAt, r.throttled, r.pace = time.Time{}, time.Time{}, 0, pace{}
-	return ended
-}
-
-func (s *TurnStore) logEndOfThrottling(ended throttling) {
-	if ended.reads > 0 {
-		s.options.Logger.WithField("after_ms", ended.took.Milliseconds()).WithField("throttled", ended.reads).
-			Info("no conversation waits to be read any more")
-	}
-}
-
 // Waiting returns the number of conversations that are read or wait for it, and the number of reads that may be made at the same time.
 func (s *TurnStore) Waiting() (conversations, reads int) {
 	s.readings.mutex.Lock()
@@ -318,10 +285,9 @@
 	shared.mutex.Lock()
 	defer shared.mutex.Unlock()
 	for _, turn := range turns {
-		shared.bytes += int64(turn.Size())
-	}
-	if shared.bytes > freeReadingBytes && !shared.memory.Grow(shared.bytes-freeReadingBytes, readingStep) {
-		return ErrNoMemory
+		if !shared.memory.Add(int64(turn.Size())) {
+			return ErrNoMemory
+		}
 	}
 	return nil
 }
