Work goes to a draining worker only if others fail, not if they were full a moment ago

Found while reading the diff: a worker counts as avoided for 60 ms after it has refused a request for lack of capacity, so in a burst a request could go to a draining worker before the others were tried. Failing (avoided after failures, or ejected) leaves that out; those that refuse this request are still tried first. TestChooseDraining fails with Avoided in its place ("it was at capacity a moment ago").

--- a/internal/backend/accessors.go
+++ b/internal/backend/accessors.go
@@ -81,6 +81,14 @@
 	return now.Before(w.avoidUntil) || now.Before(w.busyUntil) || w.ejected(now)
 }
 
+// Failing reports whether the worker is being avoided after failures at this node, or is ejected by the verdict of all nodes. One that
+// has just refused a request for lack of capacity is not failing.
+func (w *Worker) Failing(now time.Time) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return now.Before(w.avoidUntil) || w.ejected(now)
+}
+
 // ZoneFilter returns a function that reports whether a zone's workers may get a request that may be served in
 // the given regions.
 func (r *Registry) ZoneFilter(regions locality.Regions) func(zone string) bool {
--- a/internal/backend/draining.go
+++ b/internal/backend/draining.go
@@ -52,9 +52,9 @@
 	return max(0, w.servesUntil.Sub(w.registry.options.Now()))
 }
 
-// ChooseDraining picks a draining worker for a request that no other worker can serve: those that are not draining are excluded or avoided
-// by this node, or may not get the request. It returns nil if there is another one, or if no draining worker serves any more. Draining workers
-// that this node avoids come last, and the one that has the request's context cached first.
+// ChooseDraining picks a draining worker for a request that no other worker can serve: those that are not draining are excluded or failing,
+// or may not get the request. It returns nil if there is another one, or if no draining worker serves any more. Draining workers that this
+// node avoids come last, and the one that has the request's context cached first.
 func (r *Registry) ChooseDraining(query Query) *Worker {
 	query.AcceptsDraining = true
 	now := r.options.Now()
@@ -69,7 +69,7 @@
 		case r.Check(worker, query.request()).Refused() || slices.Contains(query.Exclude, worker.key):
 		case worker.ServesWhileDraining():
 			serving = append(serving, worker)
-		case !worker.Avoided(now):
+		case !worker.Failing(now):
 			return nil
 		}
 	}
--- a/internal/backend/draining_test.go
+++ b/internal/backend/draining_test.go
@@ -98,6 +98,8 @@
 	require.Nil(t, registry.ChooseDraining(Query{Service: "s", Only: []string{"ready"}}))
 	require.Nil(t, registry.ChooseDraining(Query{Service: "s", Versions: eligibility.OnlyVersions("v2")}))
 	require.Nil(t, registry.ChooseDraining(Query{Service: "s", Exclude: []string{"a", "b", "ready"}}))
+	ready.RecordRefusal(*now)
+	require.Nil(t, registry.ChooseDraining(Query{Service: "s"}), "it was at capacity a moment ago, and may not be now")
 	ready.RecordUnreachable(*now)
 	first := registry.ChooseDraining(Query{Service: "s"})
 	require.NotNil(t, first)
--- a/internal/forward/draining.go
+++ b/internal/forward/draining.go
@@ -23,7 +23,7 @@
 // chooseDraining chooses a draining worker that still serves if no other one can serve the request; nil: there is none, or another worker
 // can. chosen is the worker that would be tried otherwise; nil: none. If only is not empty, no other worker may be chosen.
 func (x *exchange) chooseDraining(only []string, chosen *backend.Worker) *backend.Worker {
-	if !x.mayUseDraining() || chosen != nil && !chosen.Avoided(time.Now()) {
+	if !x.mayUseDraining() || chosen != nil && !chosen.Failing(time.Now()) {
 		return nil
 	}
 	worker := x.options.Workers.ChooseDraining(x.placementQuery(only))
