--- a/internal/store/timeline.go
+++ b/internal/store/timeline.go
@@ -9,7 +9,7 @@
 const (
 	// sightingGap is the least time between two sightings that are kept, apart from the newest.
 	sightingGap = 10 * time.Millisecond
-	// maxSightings is the number of sightings that are kept: of the last 5 s at least.
+	// maxSightings is the number of sightings that are kept: of the last 2.5 s at least.
 	maxSightings = 512
 	// maxClockDrift is how much the clocks of the table and of this node may differ in rate.
 	maxClockDrift = 0.001
