Read once more: one check of failing workers, no lock for workers that do not drain, no field that one caller sets for itself

Behaviour unchanged. Avoided, Failing and the candidate's health stood three times as the same condition; eligibilityOf took a second lock and the clock for each of up to 32 ranked workers, also where none drains; Query.AcceptsDraining was set by ChooseDraining alone, which now asks with its own request, once.

--- a/internal/backend/accessors.go
+++ b/internal/backend/accessors.go
@@ -78,7 +78,7 @@
 func (w *Worker) Avoided(now time.Time) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return now.Before(w.avoidUntil) || now.Before(w.busyUntil) || w.ejected(now)
+	return now.Before(w.busyUntil) || w.failing(now)
 }
 
 // Failing reports whether the worker is being avoided after failures at this node, or is ejected by the verdict of all nodes. One that
@@ -86,9 +86,12 @@
 func (w *Worker) Failing(now time.Time) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return now.Before(w.avoidUntil) || w.ejected(now)
+	return w.failing(now)
 }
 
+// failing is Failing. The caller holds the mutex.
+func (w *Worker) failing(now time.Time) bool { return now.Before(w.avoidUntil) || w.ejected(now) }
+
 // ZoneFilter returns a function that reports whether a zone's workers may get a request that may be served in
 // the given regions.
 func (r *Registry) ZoneFilter(regions locality.Regions) func(zone string) bool {
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -33,8 +33,6 @@
 	Retryable bool
 	// FirstTurn means that the request is a program's first turn.
 	FirstTurn bool
-	// AcceptsDraining means that no other worker can serve the request than the draining ones.
-	AcceptsDraining bool
 	// WarmOnly means that only warm workers may be chosen.
 	WarmOnly bool
 	Exclude  []string // keys of workers that may not be chosen
@@ -116,7 +114,7 @@
 
 // request returns the properties of the request that decide which workers may get it.
 func (q Query) request() eligibility.Request {
-	return eligibility.Request{Regions: q.Regions, Versions: q.Versions, AcceptsDraining: q.AcceptsDraining}
+	return eligibility.Request{Regions: q.Regions, Versions: q.Versions}
 }
 
 // Check decides whether a request may be sent to a worker now.
@@ -134,7 +132,7 @@
 		Region:    r.options.Zones.Region(worker.zone),
 		Version:   record.SoftwareVersion,
 		Draining:  record.Draining,
-		Serving:   worker.ServesWhileDraining(),
+		Serving:   record.Draining && worker.ServesWhileDraining(),
 		Evacuated: evacuated,
 		Cold:      r.cold(worker),
 	}
@@ -256,7 +254,7 @@
 	candidate := placement.Candidate{
 		Worker:       id.Worker(w.key),
 		Zone:         w.record.Zone,
-		Healthy:      !now.Before(w.avoidUntil) && !w.ejected(now),
+		Healthy:      !w.failing(now),
 		Draining:     w.record.Draining,
 		ModelLoaded:  true,
 		AdapterReady: true,
--- a/internal/backend/draining.go
+++ b/internal/backend/draining.go
@@ -56,7 +56,8 @@
 // or may not get the request. It returns nil if there is another one, or if no draining worker serves any more. Draining workers that this
 // node avoids come last, and the one that has the request's context cached first.
 func (r *Registry) ChooseDraining(query Query) *Worker {
-	query.AcceptsDraining = true
+	request := query.request()
+	request.AcceptsDraining = true
 	now := r.options.Now()
 	known := r.rosterOf(query.Service)
 	permitted := known.workers
@@ -66,7 +67,7 @@
 	var serving []*Worker
 	for _, worker := range permitted {
 		switch {
-		case r.Check(worker, query.request()).Refused() || slices.Contains(query.Exclude, worker.key):
+		case r.Check(worker, request).Refused() || slices.Contains(query.Exclude, worker.key):
 		case worker.ServesWhileDraining():
 			serving = append(serving, worker)
 		case !worker.Failing(now):
